--- /dev/null
+++ b/crates/node/src/bin/kingcup-entry.rs
@@ -0,0 +1,9 @@
+//! The entry daemon.
+
+use std::process::ExitCode;
+
+use kingcup_node::{entry, options, settings::entry::Settings};
+
+fn main() -> ExitCode {
+    options::main("kingcup-entry", Settings::open, |settings| &settings.process.name, entry::spawn)
+}
--- /dev/null
+++ b/crates/node/src/bin/kingcup-sidecar.rs
@@ -0,0 +1,14 @@
+//! The sidecar daemon.
+
+use std::process::ExitCode;
+
+use kingcup_node::{options, settings::sidecar::Settings, sidecar};
+
+fn main() -> ExitCode {
+    options::main(
+        "kingcup-sidecar",
+        Settings::open,
+        |settings| &settings.process.name,
+        sidecar::spawn,
+    )
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,11 @@
-//! Placeholder.
+//! The daemons: stakker actors, sockets and threads around the decision library.
+
+pub mod datagram;
+pub mod entry;
+pub mod http;
+pub mod link;
+pub mod logs;
+pub mod options;
+pub mod reactor;
+pub mod settings;
+pub mod sidecar;
--- /dev/null
+++ b/crates/node/src/reactor.rs
@@ -0,0 +1,83 @@
+//! The event loop: stakker over mio, with signals delivered as calls.
+
+use std::{
+    io,
+    time::{Duration, Instant},
+};
+
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+use stakker::{sync::Channel, Core, Fwd, Stakker};
+use stakker_mio::{
+    mio::{Events, Poll},
+    MioPoll,
+};
+
+/// Most events taken from the kernel in one call.
+const EVENTS: usize = 1024;
+/// Priority of the waker among event sources; sockets have the same.
+pub const PRIORITY: u32 = 5;
+/// Longest sleep without an event or timer.
+const MAX_WAIT: Duration = Duration::from_secs(60);
+
+/// Opens the loop.
+///
+/// # Errors
+///
+/// The error of the kernel's poll object.
+pub fn open() -> io::Result<(Stakker, MioPoll)> {
+    let mut stakker = Stakker::new(Instant::now());
+    let poll = MioPoll::new(&mut stakker, Poll::new()?, Events::with_capacity(EVENTS), PRIORITY)?;
+    Ok((stakker, poll))
+}
+
+/// Runs until an actor shuts the loop down.
+///
+/// # Errors
+///
+/// The error of the kernel's poll object.
+pub fn run(stakker: &mut Stakker, poll: &MioPoll) -> io::Result<()> {
+    let mut idle_pending = stakker.run(Instant::now(), false);
+    let mut io_pending = false;
+    while stakker.not_shutdown() {
+        let wait = stakker.next_wait_max(Instant::now(), MAX_WAIT, idle_pending || io_pending);
+        let (activity, pending) = poll.poll(wait)?;
+        io_pending = pending;
+        idle_pending = stakker.run(Instant::now(), !activity);
+    }
+    Ok(())
+}
+
+/// Delivers SIGTERM and SIGINT to `fwd`, from a thread of its own.
+///
+/// # Errors
+///
+/// The error of installing the handlers.
+pub fn signals(core: &mut Core, fwd: Fwd<i32>) -> io::Result<stakker::sync::ChannelGuard> {
+    let (channel, guard) = Channel::new(core, fwd);
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    std::thread::Builder::new().name("signals".into()).spawn(move || {
+        for signal in signals.forever() {
+            if !channel.send(signal) {
+                break;
+            }
+        }
+    })?;
+    Ok(guard)
+}
+
+/// Makes the incarnation of a process: it differs between two starts, even within a microsecond or
+/// after the clock was set back.
+pub fn incarnation() -> u64 {
+    let micros = std::time::SystemTime::now()
+        .duration_since(std::time::UNIX_EPOCH)
+        .map_or(0, |since| since.as_micros() as u64);
+    micros << 12 | fastrand::u64(0..1 << 12)
+}
+
+/// Microseconds since the loop was opened: the time that decisions are given.
+pub fn now_us(core: &Core) -> u64 {
+    core.now().duration_since(core.start_instant()).as_micros() as u64 + 1
+}
