--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod code;
 pub mod document;
+pub mod gate;
 pub mod id;
