--- a/crates/dispatch/src/gate.rs
+++ b/crates/dispatch/src/gate.rs
@@ -208,7 +208,7 @@
         records.see(start.sequence);
         self.peers.touch(entry, start.more, now);
         match self.admit(entry, start, now) {
-            Ok(kind) => self.place(entry, kind, start, now),
+            Ok(kind) => self.place(entry, peer, kind, start, now),
             Err(code) => self.refuse(entry, start.sequence, code, now),
         }
     }
@@ -247,13 +247,14 @@
         self.contended_until_us = now + CONTENDED_US;
     }
 
-    fn place(&mut self, entry: Entry, kind: usize, start: &Start<'_>, now: u64) {
+    fn place(&mut self, entry: Entry, peer: Peer, kind: usize, start: &Start<'_>, now: u64) {
         let row = self.peers.row_mut(entry);
         row.outstanding += 1;
         row.queued += 1;
         row.records.push(start.sequence, State::Queued);
         let waiting = Waiting {
             entry,
+            peer,
             sequence: start.sequence,
             job: start.job.to_owned(),
             task: start.task,
@@ -270,7 +271,7 @@
     }
 
     fn run(&mut self, kind: usize, waiting: Waiting, now: u64) {
-        let Waiting { entry, sequence, job, task, payload, .. } = waiting;
+        let Waiting { entry, peer, sequence, job, task, payload, .. } = waiting;
         let queue_us = saturate(now.saturating_sub(waiting.queued_us));
         let charged_us = self.queue.charge(kind, now);
         let slot = self.slots.take(Call {
@@ -285,7 +286,6 @@
         let row = self.peers.row_mut(entry);
         row.queued -= 1;
         row.records.set(sequence, State::Running(slot));
-        let peer = row.peer.unwrap_or_default();
         let name = self.queue.name(kind);
         let timeout_ms = self.queue.timeout_ms(kind);
         self.effects.push(Effect::Call {
--- a/crates/dispatch/src/gate/fair.rs
+++ b/crates/dispatch/src/gate/fair.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     document::{Document, Kind, Urgency, KINDS},
-    gate::peers::Entry,
+    gate::{message::Peer, peers::Entry},
 };
 
 /// Run time assumed for a kind before its first end, in microseconds.
@@ -28,6 +28,7 @@
 #[derive(Debug)]
 pub(crate) struct Waiting {
     pub entry: Entry,
+    pub peer: Peer,
     pub sequence: u64,
     pub job: String,
     pub task: u16,
--- a/crates/dispatch/src/gate/message.rs
+++ b/crates/dispatch/src/gate/message.rs
@@ -114,7 +114,7 @@
     Call {
         /// Names the call.
         slot: Slot,
-        /// Connection that the start came on.
+        /// Connection that the start came on; it may be closed.
         peer: Peer,
         /// The start's sequence.
         sequence: u64,
