--- a/crates/dispatch/src/gate.rs
+++ b/crates/dispatch/src/gate.rs
@@ -264,9 +264,10 @@
             payload: start.payload.to_vec(),
         };
         if self.can_run(start.headroom) {
+            self.queue.wake(kind, now);
             self.run(kind, waiting, now);
         } else {
-            self.queue.push(kind, waiting);
+            self.queue.push(kind, waiting, now);
         }
     }
 
--- a/crates/dispatch/src/gate/fair.rs
+++ b/crates/dispatch/src/gate/fair.rs
@@ -19,8 +19,11 @@
 const MIN_COST_US: u64 = 100;
 /// A new run time moves the learned one by one part in this many.
 const LEARNING: u64 = 8;
-/// Share that a kind can save up while it is idle, in microseconds.
-const BURST_US: u64 = 100_000;
+/// Share that a kind saves up while nothing of it waits, in microseconds.
+const IDLE_SAVED_US: u64 = 250_000;
+/// Share that a kind saves up while it waits for a slot, in microseconds. Calls are not interrupted,
+/// so a kind may wait for the end of several long ones before it gets a slot that it is owed.
+const QUEUED_SAVED_US: u64 = 2_000_000;
 /// Classes of urgency.
 const URGENCIES: usize = 4;
 
@@ -197,12 +200,19 @@
         row.waiting() < own || (self.queued < self.limit && row.waiting() < half)
     }
 
-    /// Adds a start.
-    pub fn push(&mut self, kind: usize, waiting: Waiting) {
+    /// Makes a kind active of which nothing waits. It loses what it saved up beyond the bound.
+    pub fn wake(&mut self, kind: usize, now_us: u64) {
         let row = &mut self.rows[kind];
         if row.waiting() == 0 {
             row.tag = row.tag.max(self.clocks[row.urgency as usize]);
+            row.due_us = row.due_us.max(now_us.saturating_sub(IDLE_SAVED_US));
         }
+    }
+
+    /// Adds a start.
+    pub fn push(&mut self, kind: usize, waiting: Waiting, now_us: u64) {
+        self.wake(kind, now_us);
+        let row = &mut self.rows[kind];
         self.next_expiry_us = self.next_expiry_us.min(waiting.expires_us);
         self.queued += 1;
         let lane = if waiting.headroom == 0 { &mut row.within } else { &mut row.lent };
@@ -265,13 +275,10 @@
         let slots = self.slots;
         let row = &mut self.rows[kind];
         let clock = &mut self.clocks[row.urgency as usize];
-        if row.waiting() == 0 {
-            row.tag = row.tag.max(*clock);
-        }
         *clock = (*clock).max(row.tag);
         row.tag += row.tag_step(row.cost_us);
-        let saved = now_us.saturating_sub(BURST_US);
-        row.due_us = row.due_us.max(saved) + row.interval(row.cost_us, slots);
+        let saved_us = now_us.saturating_sub(QUEUED_SAVED_US);
+        row.due_us = row.due_us.max(saved_us) + row.interval(row.cost_us, slots);
         row.running += 1;
         row.cost_us
     }
