--- /dev/null
+++ b/crates/standin/tests/upstream.rs
@@ -0,0 +1,99 @@
+//! The upstream's stand-in over HTTP.
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use kingcup_standin::upstream::{Control, Server};
+use rstest::rstest;
+use ureq::{Agent, Error};
+
+fn open() -> (Server, Agent) {
+    let server = Server::open(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(Duration::from_millis(500)));
+    (server, Agent::new_with_config(config.build()))
+}
+
+fn post(server: &Server, agent: &Agent, path: &str, body: &str) -> Result<(u16, String), Error> {
+    let mut response = agent
+        .post(format!("http://{}{path}", server.address()))
+        .header("Kingcup-Job", "e1-1-1-1")
+        .header("Kingcup-Task", "3")
+        .send(body)?;
+    Ok((response.status().as_u16(), response.body_mut().read_to_string()?))
+}
+
+/// Guards against a start that is missing from the record or whose times are not those of the run.
+#[test]
+fn a_task_is_answered_and_recorded() {
+    let (server, agent) = open();
+    let body = r#"{"sleep_ms": 20, "echo": {"a": 1}}"#;
+    let (status, text) = post(&server, &agent, "/run", body).unwrap();
+    assert_eq!((status, text.as_str()), (200, r#"{"echo":{"a":1},"job":"e1-1-1-1","task":3}"#));
+    let starts = server.starts();
+    assert_eq!((starts.len(), starts[0].job.as_str(), starts[0].task), (1, "e1-1-1-1", Some(3)));
+    assert!(starts[0].end_us.unwrap() - starts[0].start_us >= 20_000);
+    let url = format!("http://{}/starts", server.address());
+    let listed = agent.get(url).call().unwrap().body_mut().read_to_string().unwrap();
+    assert!(listed.contains(r#""job":"e1-1-1-1","task":3"#), "{listed}");
+}
+
+/// Guards against a failure that is reported as a success.
+#[rstest]
+#[case("{}", r#"{"fail": true}"#, 500)]
+#[case("{}", r#"{"status": 418}"#, 418)]
+#[case("{}", "not json", 400)]
+#[case(r#"{"fail": true}"#, "{}", 500)]
+#[case(r#"{"fail": false}"#, "", 200)]
+fn a_task_ends_as_asked(#[case] control: &str, #[case] body: &str, #[case] status: u16) {
+    let (server, agent) = open();
+    assert_eq!(post(&server, &agent, "/control", control).unwrap().0, 200);
+    assert_eq!(post(&server, &agent, "/run", body).unwrap().0, status);
+    assert_eq!(server.starts()[0].status, Some(status));
+}
+
+/// Guards against hung tasks that keep the control from being reached.
+#[test]
+fn hung_tasks_get_no_answer_and_leave_the_control_reachable() {
+    let (server, agent) = open();
+    server.control(&Control { hang: Some(true), ..Control::default() });
+    thread::scope(|scope| {
+        for _ in 0..70 {
+            scope.spawn(|| assert!(post(&server, &agent, "/run", "{}").is_err()));
+        }
+    });
+    assert_eq!(post(&server, &agent, "/control", r#"{"hang": false}"#).unwrap().0, 200);
+    assert_eq!(post(&server, &agent, "/run", "{}").unwrap().0, 200);
+    assert!(server.starts().iter().filter(|start| start.end_us.is_none()).count() >= 64);
+}
+
+/// Guards against a stall that lets a task end, and against one that never ends.
+#[test]
+fn a_stalled_task_ends_after_the_stall() {
+    let (server, agent) = open();
+    server.control(&Control { stall_ms: Some(100), ..Control::default() });
+    let started = Instant::now();
+    assert_eq!(post(&server, &agent, "/run", "{}").unwrap().0, 200);
+    assert!(started.elapsed() >= Duration::from_millis(100));
+}
+
+/// Guards against refused connections that reach a task, and against a listener that stays closed.
+#[test]
+fn connections_are_refused_for_a_time() {
+    let (server, agent) = open();
+    server.control(&Control { refuse_ms: Some(200), ..Control::default() });
+    let mut refused = false;
+    for _ in 0..100 {
+        match post(&server, &agent, "/run", "{}") {
+            Err(Error::Io(_)) => refused = true,
+            Ok(_) if refused => return,
+            _ => {}
+        }
+        thread::sleep(Duration::from_millis(10));
+    }
+    panic!("refused: {refused}");
+}
