--- /dev/null
+++ b/crates/standin/src/store/server.rs
@@ -0,0 +1,341 @@
+//! HTTP server of the stand-in.
+
+use std::{
+    io::{self, Read, Write},
+    net::{SocketAddr, ToSocketAddrs},
+    sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use displaydoc::Display;
+use serde::{de::DeserializeOwned, Serialize};
+use tiny_http::{Header, Method, Request, Response};
+
+use super::{
+    control::{Control, Counters, Faults, Lost, Mode},
+    gateway::{
+        GrantRequest, Int, KeepaliveRequest, LeaseResponse, RangeRequest, Refusal, Streamed,
+        TxnRequest, WatchRequest, WatchResponse,
+    },
+    space::Space,
+};
+
+/// Largest request body, in bytes: a value of one megabyte in base64, and the rest.
+const BODY_BYTES: u64 = 2 << 20;
+/// Longest wait of a watch between looks at its state, in milliseconds.
+const WATCH_STEP_MS: u64 = 1_000;
+/// Longest wait of `Server::wait_for`, in milliseconds.
+const WAIT_MS: u64 = 30_000;
+/// The gateway's number for an argument that is not valid.
+const INVALID_ARGUMENT: u32 = 3;
+/// The gateway's number for a path that does not exist.
+const NOT_FOUND: u32 = 5;
+/// The gateway's number for a store without a leader.
+const UNAVAILABLE: u32 = 14;
+
+/// Why the stand-in could not start.
+#[derive(Debug, Display)]
+pub enum Fault {
+    /// {0} is not a loopback address
+    NotLoopback(String),
+    /// could not listen: {0}
+    Listen(String),
+}
+
+impl std::error::Error for Fault {}
+
+#[derive(Debug, Default)]
+struct State {
+    space: Space,
+    faults: Faults,
+    counters: Counters,
+    stopped: bool,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+    opened: Instant,
+}
+
+/// Outcome of a call.
+enum Answer {
+    Json(u16, Vec<u8>),
+    Lost(Lost),
+    Watch(WatchRequest),
+}
+
+/// A running stand-in. Dropping it stops it.
+pub struct Server {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    http: Arc<tiny_http::Server>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Server {
+    /// Listens on a loopback address such as `127.0.0.1:0` and answers calls.
+    ///
+    /// # Errors
+    ///
+    /// If the address is not one of loopback or is taken.
+    pub fn open(address: &str) -> Result<Self, Fault> {
+        let listen = |error: &dyn std::fmt::Display| Fault::Listen(error.to_string());
+        let mut addresses = address.to_socket_addrs().map_err(|error| listen(&error))?;
+        if !addresses.all(|one| one.ip().is_loopback()) {
+            return Err(Fault::NotLoopback(address.to_owned()));
+        }
+        let http = Arc::new(tiny_http::Server::http(address).map_err(|error| listen(&error))?);
+        let Some(address) = http.server_addr().to_ip() else {
+            return Err(Fault::NotLoopback(address.to_owned()));
+        };
+        let shared = Arc::new(Shared {
+            state: Mutex::default(),
+            changed: Condvar::new(),
+            opened: Instant::now(),
+        });
+        let (accepting, serving) = (Arc::clone(&http), Arc::clone(&shared));
+        let thread = thread::spawn(move || accept(&accepting, &serving));
+        Ok(Self { address, shared, http, thread: Some(thread) })
+    }
+
+    /// Address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Base of the gateway's addresses, such as `http://127.0.0.1:2379`.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Sets faults; as `POST /control`.
+    pub fn control(&self, control: &Control) {
+        self.shared.control(control);
+    }
+
+    /// Calls so far; as `GET /counters`.
+    pub fn counters(&self) -> Counters {
+        self.shared.lock().counters
+    }
+
+    /// Waits until the counters satisfy a condition.
+    pub fn wait_for(&self, mut reached: impl FnMut(&Counters) -> bool) {
+        let state = self.shared.lock();
+        let waiting = |state: &mut State| !reached(&state.counters);
+        drop(
+            self.shared.changed.wait_while(state, waiting).unwrap_or_else(PoisonError::into_inner),
+        );
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.shared.lock().stopped = true;
+        self.shared.changed.notify_all();
+        self.http.unblock();
+        if let Some(thread) = self.thread.take() {
+            drop(thread.join());
+        }
+    }
+}
+
+/// Serves each call on a thread of its own, because calls that hang and watches last.
+fn accept(http: &tiny_http::Server, shared: &Arc<Shared>) {
+    while let Ok(request) = http.recv() {
+        let shared = Arc::clone(shared);
+        thread::spawn(move || {
+            if let Err(error) = serve(&shared, request) {
+                log::debug!("call not answered: {error}");
+            }
+        });
+    }
+}
+
+fn serve(shared: &Shared, mut request: Request) -> io::Result<()> {
+    let mut body = Vec::new();
+    request.as_reader().take(BODY_BYTES).read_to_end(&mut body)?;
+    let path = request.url().to_owned();
+    let answer = match (request.method(), path.as_str()) {
+        (Method::Get, "/counters") => json(&shared.lock().counters),
+        (Method::Post, "/control") => match serde_json::from_slice(&body) {
+            Ok(control) => {
+                shared.control(&control);
+                json(&control)
+            }
+            Err(error) => refusal(400, INVALID_ARGUMENT, &error.to_string()),
+        },
+        (Method::Post, path) => shared.call(path, &body),
+        _ => refusal(404, NOT_FOUND, "Not Found"),
+    };
+    match answer {
+        Answer::Json(status, body) => {
+            let header = Header::from_bytes("Content-Type", "application/json")
+                .map_err(|()| io::ErrorKind::InvalidData)?;
+            let response = Response::from_data(body).with_status_code(status).with_header(header);
+            request.respond(response)
+        }
+        Answer::Lost(Lost::Cut) => {
+            let mut writer = request.into_writer();
+            // A chunk whose length is not a number: the caller finds the answer broken at once.
+            writer.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\ncut\r\n")?;
+            writer.flush()
+        }
+        Answer::Lost(Lost::Silent) => {
+            shared.wait_until_stopped();
+            Ok(())
+        }
+        Answer::Watch(watch) => shared.stream(&watch, &mut *request.into_writer()),
+    }
+}
+
+fn json(body: &impl Serialize) -> Answer {
+    match serde_json::to_vec(body) {
+        Ok(body) => Answer::Json(200, body),
+        Err(error) => refusal(500, INVALID_ARGUMENT, &error.to_string()),
+    }
+}
+
+fn refusal(status: u16, code: u32, message: &str) -> Answer {
+    let body = Refusal { error: message, code, message };
+    Answer::Json(status, serde_json::to_vec(&body).unwrap_or_default())
+}
+
+/// Parses a body and runs a call with it.
+fn with<T: DeserializeOwned>(body: &[u8], call: impl FnOnce(T) -> Answer) -> Answer {
+    match serde_json::from_slice(body) {
+        Ok(request) => call(request),
+        Err(error) => refusal(400, INVALID_ARGUMENT, &error.to_string()),
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.opened.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn control(&self, control: &Control) {
+        self.lock().faults.set(control);
+        self.changed.notify_all();
+    }
+
+    fn wait_until_stopped(&self) {
+        let waiting = |state: &mut State| !state.stopped;
+        drop(self.changed.wait_while(self.lock(), waiting));
+    }
+
+    fn wait<'a>(&self, state: MutexGuard<'a, State>, ms: u64) -> MutexGuard<'a, State> {
+        let wait = self.changed.wait_timeout(state, Duration::from_millis(ms));
+        wait.unwrap_or_else(PoisonError::into_inner).0
+    }
+
+    fn count(&self, path: &str) {
+        let counters = &mut self.lock().counters;
+        match path {
+            "/v3/kv/range" => counters.range += 1,
+            "/v3/kv/txn" => counters.txn += 1,
+            "/v3/lease/grant" => counters.lease_grant += 1,
+            "/v3/lease/keepalive" => counters.lease_keepalive += 1,
+            "/v3/watch" => counters.watch += 1,
+            _ => {}
+        }
+        self.changed.notify_all();
+    }
+
+    /// Waits out the delay and a hang; `None` if the call is to be refused.
+    fn admit(&self) -> Option<MutexGuard<'_, State>> {
+        let mut state = self.lock();
+        let from_ms = self.now_ms();
+        loop {
+            let now_ms = self.now_ms();
+            let ready_ms = from_ms + state.faults.delay_ms;
+            if state.stopped || state.faults.mode == Mode::Refuse {
+                return None;
+            }
+            if state.faults.mode == Mode::Up && ready_ms <= now_ms {
+                state.space.expire(now_ms);
+                return Some(state);
+            }
+            let wait_ms = ready_ms.saturating_sub(now_ms).clamp(1, WATCH_STEP_MS);
+            state = self.wait(state, wait_ms);
+        }
+    }
+
+    fn call(&self, path: &str, body: &[u8]) -> Answer {
+        self.count(path);
+        let Some(mut state) = self.admit() else {
+            return refusal(503, UNAVAILABLE, "etcdserver: no leader");
+        };
+        let now_ms = self.now_ms();
+        match path {
+            "/v3/kv/range" => with(body, |range: RangeRequest| json(&state.space.range(&range))),
+            "/v3/kv/txn" => with(body, |txn: TxnRequest| self.txn(&mut state, &txn)),
+            "/v3/lease/grant" => with(body, |grant: GrantRequest| {
+                let id = Int(state.space.grant(grant.id.0, grant.ttl.0, now_ms));
+                json(&LeaseResponse { header: state.space.header(), id, ttl: grant.ttl })
+            }),
+            "/v3/lease/keepalive" => with(body, |KeepaliveRequest { id }| {
+                let ttl = Int(state.space.keepalive(id.0, now_ms));
+                let result = LeaseResponse { header: state.space.header(), id, ttl };
+                json(&Streamed { result })
+            }),
+            "/v3/watch" => with(body, Answer::Watch),
+            _ => refusal(404, NOT_FOUND, "Not Found"),
+        }
+    }
+
+    fn txn(&self, state: &mut State, txn: &TxnRequest) -> Answer {
+        let (response, wrote) = state.space.txn(txn);
+        if wrote {
+            state.counters.writes += 1;
+            self.changed.notify_all();
+        }
+        match wrote.then(|| state.faults.take_loss()).flatten() {
+            Some(lost) => Answer::Lost(lost),
+            None => json(&response),
+        }
+    }
+
+    /// Streams a watch until the caller is gone, the store is told to refuse, or it stops.
+    fn stream(&self, watch: &WatchRequest, writer: &mut dyn Write) -> io::Result<()> {
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\
+                    Transfer-Encoding: chunked\r\n\r\n";
+        writer.write_all(head.as_bytes())?;
+        let request = &watch.create_request;
+        let mut from = self.lock().space.watch_start(request);
+        let header = self.lock().space.header();
+        push(writer, WatchResponse { header, created: true, events: Vec::new() })?;
+        while let Some(mut state) = self.admit() {
+            let events = state.space.events(request, from);
+            let header = state.space.header();
+            if let Some(last) = events.last() {
+                from = last.kv.mod_revision.0 + 1;
+                drop(state);
+                push(writer, WatchResponse { header, created: false, events })?;
+                continue;
+            }
+            let now_ms = self.now_ms();
+            let expiry_ms = state.space.next_expiry_ms().unwrap_or(u64::MAX);
+            let wait_ms = expiry_ms.saturating_sub(now_ms).clamp(1, WATCH_STEP_MS);
+            state = self.wait(state, wait_ms);
+            drop(state);
+        }
+        writer.write_all(b"0\r\n\r\n")?;
+        writer.flush()
+    }
+}
+
+fn push(writer: &mut dyn Write, result: WatchResponse) -> io::Result<()> {
+    let mut line = serde_json::to_vec(&Streamed { result })?;
+    line.push(b'\n');
+    write!(writer, "{:x}\r\n", line.len())?;
+    writer.write_all(&line)?;
+    writer.write_all(b"\r\n")?;
+    writer.flush()
+}
