--- a/crates/standin/src/store/server.rs
+++ b/crates/standin/src/store/server.rs
@@ -121,13 +121,14 @@
         self.shared.lock().counters
     }
 
-    /// Waits until the counters satisfy a condition.
-    pub fn wait_for(&self, mut reached: impl FnMut(&Counters) -> bool) {
+    /// Waits until the counters satisfy a condition; false if they do not within `WAIT_MS`.
+    #[must_use]
+    pub fn wait_for(&self, mut reached: impl FnMut(&Counters) -> bool) -> bool {
         let state = self.shared.lock();
         let waiting = |state: &mut State| !reached(&state.counters);
-        drop(
-            self.shared.changed.wait_while(state, waiting).unwrap_or_else(PoisonError::into_inner),
-        );
+        let limit = Duration::from_millis(WAIT_MS);
+        let wait = self.shared.changed.wait_timeout_while(state, limit, waiting);
+        !wait.unwrap_or_else(PoisonError::into_inner).1.timed_out()
     }
 }
 
