--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,4 @@
 //! Placeholder.
+
+pub mod publish;
+pub mod store;
--- /dev/null
+++ b/crates/node/src/store/gateway.rs
@@ -0,0 +1,147 @@
+//! JSON bodies of the gateway. Bytes are base64 and 64-bit integers are strings.
+
+use base64::{engine::general_purpose::STANDARD, Engine};
+use serde::{de, Deserialize, Deserializer, Serialize, Serializer};
+
+use super::Stored;
+
+/// Text, sent as base64.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Base64<'a>(pub &'a [u8]);
+
+impl Serialize for Base64<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&STANDARD.encode(self.0))
+    }
+}
+
+fn text<'de, D: Deserializer<'de>>(deserializer: D) -> Result<String, D::Error> {
+    let encoded = String::deserialize(deserializer)?;
+    let bytes = STANDARD.decode(encoded).map_err(de::Error::custom)?;
+    String::from_utf8(bytes).map_err(de::Error::custom)
+}
+
+fn integer<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    String::deserialize(deserializer)?.parse().map_err(de::Error::custom)
+}
+
+/// First key after all keys with a prefix.
+pub(super) fn prefix_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    // The last byte of UTF-8 text is below 0xff, so that adding one does not overflow.
+    if let Some(last) = end.last_mut() {
+        *last += 1;
+    }
+    end
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct RangeRequest<'a> {
+    pub key: Base64<'a>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub range_end: Option<Base64<'a>>,
+}
+
+#[derive(Debug, Deserialize)]
+pub(super) struct Header {
+    #[serde(default, deserialize_with = "integer")]
+    pub revision: u64,
+}
+
+#[derive(Debug, Deserialize)]
+pub(super) struct KeyValue {
+    #[serde(deserialize_with = "text")]
+    key: String,
+    #[serde(default, deserialize_with = "text")]
+    value: String,
+    #[serde(default, deserialize_with = "integer")]
+    pub mod_revision: u64,
+}
+
+impl From<KeyValue> for Stored {
+    fn from(one: KeyValue) -> Self {
+        Self { key: one.key, value: one.value, mod_revision: one.mod_revision }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+pub(super) struct RangeResponse {
+    pub header: Header,
+    #[serde(default)]
+    pub kvs: Vec<KeyValue>,
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct Compare<'a> {
+    pub key: Base64<'a>,
+    pub target: &'static str,
+    pub result: &'static str,
+    pub mod_revision: String,
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct PutRequest<'a> {
+    pub key: Base64<'a>,
+    pub value: Base64<'a>,
+}
+
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(super) enum Operation<'a> {
+    RequestPut(PutRequest<'a>),
+    RequestRange(RangeRequest<'a>),
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct TxnRequest<'a> {
+    pub compare: [Compare<'a>; 1],
+    pub success: [Operation<'a>; 1],
+    pub failure: [Operation<'a>; 1],
+}
+
+#[derive(Debug, Deserialize)]
+pub(super) struct OperationResponse {
+    pub response_range: Option<RangeResponse>,
+}
+
+#[derive(Debug, Deserialize)]
+pub(super) struct TxnResponse {
+    pub header: Header,
+    #[serde(default)]
+    pub succeeded: bool,
+    #[serde(default)]
+    pub responses: Vec<OperationResponse>,
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct CreateRequest<'a> {
+    pub key: Base64<'a>,
+    pub range_end: Base64<'a>,
+    pub start_revision: String,
+}
+
+#[derive(Debug, Serialize)]
+pub(super) struct WatchRequest<'a> {
+    pub create_request: CreateRequest<'a>,
+}
+
+#[derive(Debug, Deserialize)]
+pub(super) struct Event {
+    #[serde(rename = "type", default)]
+    pub kind: Option<String>,
+    pub kv: KeyValue,
+}
+
+#[derive(Debug, Deserialize)]
+pub(super) struct WatchResponse {
+    #[serde(default)]
+    pub canceled: bool,
+    #[serde(default)]
+    pub events: Vec<Event>,
+}
+
+/// An object of a stream.
+#[derive(Debug, Deserialize)]
+pub(super) struct Streamed {
+    pub result: WatchResponse,
+}
