Add the fault-injecting proxy for TCP and UDP

The proxy forwards streams and datagrams on one port, draws faults from a printed seed, and can cut or freeze the open connections. Its program is controlled over HTTP.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Stand-ins for the platform's store and for upstreams, and a fault-injecting proxy.
+
+pub mod proxy;
--- /dev/null
+++ b/crates/standin/tests/proxy.rs
@@ -0,0 +1,283 @@
+//! The proxy forwards faithfully without faults and injects each fault when told to.
+
+use std::{
+    io::{self, ErrorKind, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
+    thread,
+    time::Duration,
+};
+
+use kingcup_standin::proxy::{self, Faults, Handle, Rates, Side};
+use rstest::rstest;
+
+/// Limit for what must happen, generous for a busy machine.
+const LONG: Duration = Duration::from_secs(20);
+/// How long something that must not happen is waited for.
+const SHORT: Duration = Duration::from_millis(200);
+const SEED: u64 = 7;
+
+/// Starts a server that sends back what it receives, over TCP and UDP on one port.
+fn echo() -> SocketAddr {
+    let (listener, datagrams) = loop {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        if let Ok(datagrams) = UdpSocket::bind(listener.local_addr().unwrap()) {
+            break (listener, datagrams);
+        }
+    };
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            thread::spawn(move || io::copy(&mut stream.try_clone().unwrap(), &mut stream));
+        }
+    });
+    thread::spawn(move || {
+        let mut buffer = [0; 2048];
+        while let Ok((length, from)) = datagrams.recv_from(&mut buffer) {
+            datagrams.send_to(&buffer[..length], from).unwrap();
+        }
+    });
+    address
+}
+
+fn start() -> Handle {
+    proxy::bind("127.0.0.1:0".parse().unwrap(), echo(), SEED).unwrap()
+}
+
+fn dial(proxy: &Handle) -> TcpStream {
+    let stream = TcpStream::connect(proxy.address()).unwrap();
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    stream
+}
+
+fn round_trip(stream: &mut TcpStream, text: &[u8]) -> Vec<u8> {
+    stream.write_all(text).unwrap();
+    let mut answer = vec![0; text.len()];
+    stream.read_exact(&mut answer).unwrap();
+    answer
+}
+
+fn datagram_client(proxy: &Handle) -> UdpSocket {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.connect(proxy.address()).unwrap();
+    socket.set_read_timeout(Some(LONG)).unwrap();
+    socket
+}
+
+fn receive(socket: &UdpSocket) -> Vec<u8> {
+    let mut buffer = [0; 2048];
+    let length = socket.recv(&mut buffer).unwrap();
+    buffer[..length].to_vec()
+}
+
+fn assert_silent(result: io::Result<usize>) {
+    let kind = result.unwrap_err().kind();
+    assert!(matches!(kind, ErrorKind::WouldBlock | ErrorKind::TimedOut), "{kind}");
+}
+
+/// Guards against a proxy that loses or changes bytes without a fault, also on large transfers and
+/// at the end of a stream.
+#[test]
+fn forwards_streams_faithfully() {
+    let proxy = start();
+    let mut stream = dial(&proxy);
+    let sent: Vec<u8> = (0..3_000_000_u32).map(|n| (n % 251) as u8).collect();
+    let mut writer = stream.try_clone().unwrap();
+    let copy = sent.clone();
+    let thread = thread::spawn(move || {
+        writer.write_all(&copy).unwrap();
+        writer.shutdown(std::net::Shutdown::Write).unwrap();
+    });
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).unwrap();
+    thread.join().unwrap();
+    assert!(received == sent);
+}
+
+/// Guards against datagrams that reach the wrong client.
+#[test]
+fn forwards_datagrams_to_their_clients() {
+    let proxy = start();
+    let clients: Vec<_> = (0..8).map(|_| datagram_client(&proxy)).collect();
+    for (number, client) in clients.iter().enumerate() {
+        client.send(&[number as u8; 5]).unwrap();
+    }
+    for (number, client) in clients.iter().enumerate() {
+        assert_eq!(receive(client), [number as u8; 5]);
+    }
+}
+
+/// Guards against a cut that the ends notice only as a silence.
+#[test]
+fn cut_resets_connections() {
+    let proxy = start();
+    let mut stream = dial(&proxy);
+    round_trip(&mut stream, b"before");
+    assert_eq!(proxy.cut(), 1);
+    let error = stream.read(&mut [0; 8]).unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+    assert_eq!(round_trip(&mut dial(&proxy), b"after"), b"after");
+}
+
+/// Guards against a frozen connection that is closed or that recovers, and against new connections
+/// that are frozen too.
+#[test]
+fn freeze_silences_old_connections_alone() {
+    let proxy = start();
+    let mut old = dial(&proxy);
+    round_trip(&mut old, b"before");
+    assert_eq!(proxy.freeze(), 1);
+    old.write_all(b"lost").unwrap();
+    assert_eq!(round_trip(&mut dial(&proxy), b"new"), b"new");
+    proxy.set_faults(Faults::default());
+    proxy.cut();
+    old.set_read_timeout(Some(SHORT)).unwrap();
+    assert_silent(old.read(&mut [0; 8]));
+}
+
+/// Guards against loss that affects both directions.
+#[rstest]
+#[case(Side::ToTarget)]
+#[case(Side::ToClient)]
+fn one_way_loss_holds_back_one_direction(#[case] side: Side) {
+    let proxy = start();
+    let mut stream = dial(&proxy);
+    let client = datagram_client(&proxy);
+    round_trip(&mut stream, b"before");
+    proxy.set_faults(Faults { one_way: Some(side), ..Faults::default() });
+    let before = proxy.counts().received;
+    stream.write_all(b"held").unwrap();
+    client.send(b"lost").unwrap();
+    client.set_read_timeout(Some(SHORT)).unwrap();
+    assert_silent(client.recv(&mut [0; 8]));
+    stream.set_read_timeout(Some(SHORT)).unwrap();
+    assert_silent(stream.read(&mut [0; 8]));
+    assert!(proxy.counts().received > before);
+    proxy.set_faults(Faults::default());
+    stream.set_read_timeout(Some(LONG)).unwrap();
+    let mut answer = [0; 4];
+    stream.read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"held");
+}
+
+/// Guards against a damaged chunk or datagram with no or more than one changed bit.
+#[test]
+fn damage_flips_one_bit_in_each_direction() {
+    let proxy = start();
+    let rates = Rates { damage: 1.0, ..Rates::default() };
+    proxy.set_faults(Faults { tcp: rates, udp: rates, one_way: None });
+    let sent = [0; 1000];
+    let client = datagram_client(&proxy);
+    client.send(&sent).unwrap();
+    let ones = |bytes: &[u8]| bytes.iter().map(|byte| byte.count_ones()).sum::<u32>();
+    assert_eq!(ones(&receive(&client)), 2);
+    let mut stream = dial(&proxy);
+    assert!(ones(&round_trip(&mut stream, &sent)) >= 2);
+}
+
+/// Guards against duplicates that never arrive.
+#[test]
+fn duplicates_are_forwarded_twice() {
+    let proxy = start();
+    let rates = Rates { duplicate: 1.0, ..Rates::default() };
+    proxy.set_faults(Faults { tcp: rates, udp: rates, one_way: None });
+    let client = datagram_client(&proxy);
+    client.send(b"twice").unwrap();
+    for _ in 0..4 {
+        assert_eq!(receive(&client), b"twice");
+    }
+    let mut stream = dial(&proxy);
+    stream.write_all(b"twice").unwrap();
+    let mut answer = [0; 20];
+    stream.read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"twicetwicetwicetwice");
+}
+
+/// Guards against loss or delay that is applied to nothing or to everything, and against a draw that
+/// does not follow the seed.
+#[test]
+fn drops_follow_the_seed() {
+    let run = || {
+        let proxy = start();
+        let udp = Rates { drop: 0.3, ..Rates::default() };
+        proxy.set_faults(Faults { udp, ..Faults::default() });
+        let client = datagram_client(&proxy);
+        client.set_read_timeout(Some(SHORT)).unwrap();
+        let lockstep = |number: u8| {
+            client.send(&[number]).unwrap();
+            client.recv(&mut [0; 8]).is_ok()
+        };
+        (0..20).map(lockstep).collect::<Vec<_>>()
+    };
+    let first = run();
+    assert!(first.contains(&true) && first.contains(&false), "{first:?}");
+    assert_eq!(first, run());
+}
+
+/// Guards against reordering that keeps the order or loses datagrams.
+#[test]
+fn reordering_changes_the_order_and_loses_nothing() {
+    let proxy = start();
+    let udp = Rates { reorder: 0.5, ..Rates::default() };
+    proxy.set_faults(Faults { udp, ..Faults::default() });
+    let client = datagram_client(&proxy);
+    for number in 0..100_u8 {
+        client.send(&[number]).unwrap();
+    }
+    let mut received: Vec<_> = (0..100).map(|_| receive(&client)[0]).collect();
+    assert!(!received.is_sorted());
+    received.sort_unstable();
+    assert!(received.into_iter().eq(0..100));
+}
+
+/// Guards against delays that are not kept, and against a delayed chunk that is overtaken.
+#[test]
+fn delayed_chunks_keep_their_order() {
+    let proxy = start();
+    let tcp = Rates { delay: 0.5, delay_min_ms: 5, delay_max_ms: 30, ..Rates::default() };
+    proxy.set_faults(Faults { tcp, ..Faults::default() });
+    let mut stream = dial(&proxy);
+    let sent: Vec<u8> = (0..200).collect();
+    for byte in &sent {
+        stream.write_all(&[*byte]).unwrap();
+    }
+    let mut received = vec![0; sent.len()];
+    stream.read_exact(&mut received).unwrap();
+    assert_eq!(received, sent);
+    assert!(proxy.counts().delayed > 0);
+}
+
+/// Guards against a client that keeps an open connection to a target that refuses.
+#[test]
+fn refused_target_resets_the_client() {
+    let target = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let proxy = proxy::bind("127.0.0.1:0".parse().unwrap(), target, SEED).unwrap();
+    let mut stream = dial(&proxy);
+    let error = stream.read(&mut [0; 8]).unwrap_err();
+    assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+}
+
+/// Guards against a control endpoint that ignores or misreads what it is told.
+#[test]
+fn control_changes_faults_and_reports_counts() {
+    use std::sync::Arc;
+    let proxy = Arc::new(start());
+    let server = Arc::new(tiny_http::Server::http("127.0.0.1:0").unwrap());
+    let url = format!("http://{}", server.server_addr());
+    let (shared, handle) = (Arc::clone(&server), Arc::clone(&proxy));
+    let thread = thread::spawn(move || proxy::control::serve(&shared, &handle));
+    let body = r#"{"udp":{"drop":1.0}}"#;
+    ureq::put(format!("{url}/faults")).send(body).unwrap();
+    let client = datagram_client(&proxy);
+    client.send(b"lost").unwrap();
+    client.set_read_timeout(Some(SHORT)).unwrap();
+    assert_silent(client.recv(&mut [0; 8]));
+    let mut state = ureq::get(format!("{url}/state")).call().unwrap();
+    let text = state.body_mut().read_to_string().unwrap();
+    let state: serde_json::Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(state["seed"], SEED);
+    assert_eq!(state["counts"]["dropped"], 1);
+    assert!(ureq::put(format!("{url}/faults")).send(r#"{"unknown":1}"#).is_err());
+    server.unblock();
+    thread.join().unwrap();
+}
