--- /dev/null
+++ b/crates/proof/src/check.rs
@@ -0,0 +1,67 @@
+//! Checks a history against the eight invariants of the design page.
+//!
+//! The checker needs no order of the events and no access to the system: it judges only what callers,
+//! upstreams and operators saw. Where a history permits two explanations, one of them lawful, the
+//! checker accepts it.
+
+mod answer;
+mod change;
+mod index;
+mod refusal;
+mod start;
+mod stop;
+
+use displaydoc::Display;
+
+use crate::history::Event;
+
+pub use change::EFFECT_US;
+pub use stop::LEAVE_US;
+
+/// An invariant, by its number on the design page.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Rule {
+    /// 1: each task of a submission starts at most once
+    OneStart = 1,
+    /// 2: a job's response is complete or failed, never partial
+    Whole = 2,
+    /// 3: a caller gets the whole response to its own request
+    Own = 3,
+    /// 4: a refusal that says "not run" is true
+    TrueRefusal = 4,
+    /// 5: a non-idempotent request runs at most once
+    OneRun = 5,
+    /// 6: an upstream that is leaving receives no new work after a few seconds
+    Leaving = 6,
+    /// 7: a planned stop is graceful and interrupts no request in flight
+    PlannedStop = 7,
+    /// 8: an accepted configuration is in effect everywhere within seconds and never reverts
+    Configuration = 8,
+}
+
+/// A breach of an invariant.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+#[displaydoc("invariant {rule}: {what}")]
+pub struct Violation {
+    /// The invariant.
+    pub rule: Rule,
+    /// The work, process or service concerned, with what was seen.
+    pub what: String,
+}
+
+/// Finds all violations in a history, ordered by invariant.
+pub fn violations(events: &[Event]) -> Vec<Violation> {
+    let index = index::Index::new(events);
+    let mut found = Vec::new();
+    start::check(&index, &mut found);
+    answer::check(&index, &mut found);
+    refusal::check(&index, &mut found);
+    stop::check(&index, &mut found);
+    change::check(&index, &mut found);
+    found.sort_by_key(|violation| violation.rule);
+    found
+}
+
+fn report(found: &mut Vec<Violation>, rule: Rule, what: impl Into<String>) {
+    found.push(Violation { rule, what: what.into() });
+}
--- /dev/null
+++ b/crates/proof/src/check/start.rs
@@ -0,0 +1,33 @@
+//! Invariants 1 and 5: no task starts twice.
+
+use std::collections::BTreeMap;
+
+use super::{
+    index::{Index, Run},
+    report, Rule, Violation,
+};
+use crate::history::Form;
+
+pub(super) fn check(index: &Index<'_>, found: &mut Vec<Violation>) {
+    for (name, work) in &index.works {
+        let rule = match work.form() {
+            Some(Form::IdempotentRequest) => continue,
+            Some(Form::Request) => Rule::OneRun,
+            // A start of work that no caller sent is judged as a job's: a second one is a double.
+            Some(Form::Job) | None => Rule::OneStart,
+        };
+        let mut by_task = BTreeMap::<u16, Vec<&Run<'_>>>::new();
+        for run in &work.runs {
+            by_task.entry(run.task).or_default().push(run);
+        }
+        for (task, runs) in by_task {
+            if runs.len() > 1 {
+                let starts: Vec<_> = runs
+                    .iter()
+                    .map(|run| format!("{} at {}", run.upstream, run.start_us))
+                    .collect();
+                report(found, rule, format!("{name} task {task} started on {}", starts.join(", ")));
+            }
+        }
+    }
+}
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! History checker, process harness and integration tests.
+
+pub mod check;
+pub mod history;
