--- /dev/null
+++ b/crates/proof/src/harness/cluster.rs
@@ -0,0 +1,545 @@
+//! A deployment of real programs.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Duration,
+};
+
+use kingcup_standin::proxy;
+use serde::Deserialize;
+use ureq::Agent;
+
+use super::{
+    caller::{Caller, Target},
+    http, port,
+    process::{self, exit_code, Program},
+    record::Recorder,
+    settings, until, Fault, Result,
+};
+use crate::{
+    check::{self, Violation},
+    history::{now_us, Event},
+};
+
+/// Longest wait of the harness for an answer of a program.
+const CALL: Duration = Duration::from_secs(5);
+
+/// What to start.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Seed of everything random.
+    pub seed: u64,
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of sidecars, each with an upstream of its own.
+    pub sidecars: usize,
+    /// Number of availability zones, over which the processes are spread in turn.
+    pub zones: usize,
+    /// Slots of each upstream.
+    pub slots: u16,
+    /// Puts a fault-injecting proxy before each sidecar's TCP port.
+    pub proxies: bool,
+    /// Entries' `drain_delay_ms`.
+    pub drain_delay_ms: u64,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            entries: 2,
+            sidecars: 3,
+            zones: 2,
+            slots: 8,
+            proxies: false,
+            drain_delay_ms: 500,
+        }
+    }
+}
+
+/// Name of the service that the harness configures.
+pub const SERVICE: &str = "log-desk";
+/// Kind that must not run twice.
+pub const PLAIN: &str = "correction";
+/// Idempotent kind.
+pub const IDEMPOTENT: &str = "lookup";
+
+/// An entry under the harness.
+#[derive(Debug)]
+pub struct Entry {
+    /// The running program; none after a kill or stop.
+    pub program: Option<Program>,
+    /// Settings.
+    pub settings: settings::Entry,
+}
+
+/// A sidecar under the harness, with its upstream.
+#[derive(Debug)]
+pub struct Sidecar {
+    /// The running program; none after a kill or stop.
+    pub program: Option<Program>,
+    /// Settings.
+    pub settings: settings::Sidecar,
+    /// Name of the upstream.
+    pub upstream_name: String,
+    /// The upstream stand-in.
+    pub upstream: Program,
+    /// Proxy on the way from the entries to the sidecar.
+    pub proxy: Option<proxy::Handle>,
+}
+
+/// A start as the upstream stand-in reports it.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Start {
+    /// Job ID.
+    pub job: String,
+    /// Index of the task.
+    pub task: u16,
+    /// Time of the start, in microseconds.
+    pub start_us: u64,
+    /// Time of the end, if it ended.
+    pub end_us: Option<u64>,
+}
+
+/// Running programs. Dropping it kills them.
+#[derive(Debug)]
+pub struct Cluster {
+    /// What was started.
+    pub plan: Plan,
+    /// Entries, by number.
+    pub entries: Vec<Entry>,
+    /// Sidecars, by number.
+    pub sidecars: Vec<Sidecar>,
+    /// History so far.
+    pub recorder: Arc<Recorder>,
+    folder: PathBuf,
+    agent: Agent,
+    keep_folder: bool,
+}
+
+/// Result of a run.
+#[derive(Debug)]
+pub struct Verdict {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Events of the history.
+    pub events: usize,
+    /// Starts that the upstreams reported.
+    pub starts: usize,
+    /// Breaches of invariants.
+    pub violations: Vec<Violation>,
+    /// Answers that broke the callers' protocol.
+    pub malformed: Vec<String>,
+}
+
+impl Verdict {
+    /// Panics with everything that was found, unless nothing was.
+    ///
+    /// # Panics
+    ///
+    /// If an invariant or the callers' protocol was broken.
+    pub fn assert_clean(&self) {
+        let clean = self.violations.is_empty() && self.malformed.is_empty();
+        assert!(clean, "{self}");
+    }
+}
+
+impl std::fmt::Display for Verdict {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self { seed, events, starts, .. } = self;
+        writeln!(f, "KINGCUP_SEED={seed} events={events} starts={starts}")?;
+        for violation in &self.violations {
+            writeln!(f, "violation: {violation}")?;
+        }
+        for answer in &self.malformed {
+            writeln!(f, "malformed: {answer}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Starts all programs and waits until every entry is ready.
+///
+/// # Errors
+///
+/// If a program does not start or does not become ready.
+pub fn start(plan: Plan) -> Result<Cluster> {
+    let mut cluster = prepare(plan)?;
+    for number in 0..cluster.plan.entries {
+        cluster.spawn_entry(number)?;
+    }
+    for number in 0..cluster.plan.sidecars {
+        cluster.spawn_sidecar(number)?;
+    }
+    cluster.wait_ready()?;
+    Ok(cluster)
+}
+
+fn prepare(plan: Plan) -> Result<Cluster> {
+    let folder = folder(plan.seed)?;
+    let mut peers = Vec::new();
+    for number in 0..plan.entries {
+        peers.push((format!("entry{number}"), port::find()?));
+    }
+    let mut entries = Vec::new();
+    for (number, (name, internal)) in peers.iter().enumerate() {
+        let settings = settings::Entry {
+            name: name.clone(),
+            zone: zone(&plan, number),
+            internal: *internal,
+            callers: port::find()?,
+            admin: port::find()?,
+            store: None,
+            entries: peers.clone(),
+            drain_delay_ms: plan.drain_delay_ms,
+        };
+        entries.push(Entry { program: None, settings });
+    }
+    let mut sidecars = Vec::new();
+    for number in 0..plan.sidecars {
+        sidecars.push(prepare_sidecar(&plan, number, &peers, &folder)?);
+    }
+    let (recorder, agent) = (Arc::default(), http::agent(CALL));
+    Ok(Cluster { plan, entries, sidecars, recorder, folder, agent, keep_folder: false })
+}
+
+fn prepare_sidecar(
+    plan: &Plan,
+    number: usize,
+    peers: &[(String, SocketAddr)],
+    folder: &Path,
+) -> Result<Sidecar> {
+    let upstream_name = format!("upstream{number}");
+    let arguments = ["--listen".to_owned(), "127.0.0.1:0".to_owned()];
+    let upstream = process::spawn("kingcup-standin-upstream", &upstream_name, &arguments, folder)?;
+    let internal = port::find()?;
+    let proxy = match plan.proxies {
+        true => Some(bind_proxy(internal, plan.seed.wrapping_add(number as u64))?),
+        false => None,
+    };
+    let settings = settings::Sidecar {
+        name: format!("sidecar{number}"),
+        zone: zone(plan, number),
+        internal,
+        advertise: proxy.as_ref().map(proxy::Handle::address),
+        admin: port::find()?,
+        service: SERVICE.to_owned(),
+        upstream: address(&upstream)?,
+        slots: plan.slots,
+        entries: peers.to_vec(),
+    };
+    Ok(Sidecar { program: None, settings, upstream_name, upstream, proxy })
+}
+
+fn bind_proxy(target: SocketAddr, seed: u64) -> Result<proxy::Handle> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    proxy::bind(any, target, seed).map_err(|error| Fault::Io("proxy".into(), error))
+}
+
+fn address(program: &Program) -> Result<SocketAddr> {
+    let text = program.wait_line("listening on ")?;
+    let wrong = |_| Fault::Unexpected(format!("{} listens on {text:?}", program.name()));
+    text.trim().trim_start_matches("http://").parse().map_err(wrong)
+}
+
+fn zone(plan: &Plan, number: usize) -> String {
+    format!("zone{}", number % plan.zones.max(1))
+}
+
+fn folder(seed: u64) -> Result<PathBuf> {
+    let name = format!("kingcup-proof-{}-{seed:x}-{:x}", std::process::id(), fastrand::u64(..));
+    let path = std::env::temp_dir().join(name);
+    fs::create_dir_all(&path).map_err(|error| Fault::Io("temporary folder".into(), error))?;
+    Ok(path)
+}
+
+impl Cluster {
+    /// Starts or restarts an entry, without waiting for its readiness.
+    ///
+    /// # Errors
+    ///
+    /// If the program cannot be started.
+    pub fn spawn_entry(&mut self, number: usize) -> Result<()> {
+        let entry = &mut self.entries[number];
+        let settings = &entry.settings;
+        entry.program = Some(daemon(&self.folder, "entry", &settings.name, &settings.text())?);
+        Ok(())
+    }
+
+    /// Starts or restarts a sidecar, without waiting for its readiness.
+    ///
+    /// # Errors
+    ///
+    /// If the program cannot be started.
+    pub fn spawn_sidecar(&mut self, number: usize) -> Result<()> {
+        let sidecar = &mut self.sidecars[number];
+        let upstream = sidecar.upstream_name.clone();
+        self.recorder.add(Event::Joined { at_us: now_us(), upstream });
+        let settings = &sidecar.settings;
+        sidecar.program = Some(daemon(&self.folder, "sidecar", &settings.name, &settings.text())?);
+        Ok(())
+    }
+
+    /// Waits until all running entries say that they are ready.
+    ///
+    /// # Errors
+    ///
+    /// `Timeout`, or the end of a program.
+    pub fn wait_ready(&self) -> Result<()> {
+        for entry in self.entries.iter().filter(|entry| entry.program.is_some()) {
+            self.wait_ready_at(entry.settings.admin, entry.program.as_ref())?;
+        }
+        for sidecar in self.sidecars.iter().filter(|sidecar| sidecar.program.is_some()) {
+            self.wait_ready_at(sidecar.settings.admin, sidecar.program.as_ref())?;
+        }
+        Ok(())
+    }
+
+    /// Waits until an entry says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// `Timeout`, or the end of the program.
+    pub fn wait_entry_ready(&self, number: usize) -> Result<()> {
+        let entry = &self.entries[number];
+        self.wait_ready_at(entry.settings.admin, entry.program.as_ref())
+    }
+
+    /// Waits until a sidecar says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// `Timeout`, or the end of the program.
+    pub fn wait_sidecar_ready(&self, number: usize) -> Result<()> {
+        let sidecar = &self.sidecars[number];
+        self.wait_ready_at(sidecar.settings.admin, sidecar.program.as_ref())
+    }
+
+    fn wait_ready_at(&self, admin: SocketAddr, program: Option<&Program>) -> Result<()> {
+        let name = program.map_or("process", Program::name);
+        let ready = until(&format!("readiness of {name}"), || {
+            let ready = http::get(&self.agent, admin, "/readyz").is_ok_and(|r| r.status == 200);
+            let ended = program.is_some_and(|program| !program.is_running());
+            (ready || ended).then_some(ready)
+        })?;
+        match ready {
+            true => Ok(()),
+            false => {
+                let tail = program.map(Program::tail).unwrap_or_default();
+                Err(Fault::Unexpected(format!("{name} ended:\n{tail}")))
+            }
+        }
+    }
+
+    /// An entry as callers know it.
+    pub fn target(&self, number: usize) -> Target {
+        let settings = &self.entries[number].settings;
+        Target { name: settings.name.clone(), address: settings.callers }
+    }
+
+    /// All entries as callers know them.
+    pub fn targets(&self) -> Vec<Target> {
+        (0..self.entries.len()).map(|number| self.target(number)).collect()
+    }
+
+    /// Makes a caller.
+    pub fn caller(&self) -> Caller {
+        Caller::new(Arc::clone(&self.recorder), SERVICE)
+    }
+
+    /// Kills an entry.
+    pub fn kill_entry(&mut self, number: usize) {
+        self.recorder.fault(format!("kill entry{number}"));
+        if let Some(mut program) = self.entries[number].program.take() {
+            program.kill();
+        }
+    }
+
+    /// Kills a sidecar.
+    pub fn kill_sidecar(&mut self, number: usize) {
+        self.recorder.fault(format!("kill sidecar{number}"));
+        if let Some(mut program) = self.sidecars[number].program.take() {
+            program.kill();
+        }
+    }
+
+    /// Pauses an entry.
+    pub fn pause_entry(&self, number: usize) {
+        self.recorder.fault(format!("pause entry{number}"));
+        signal(self.entries[number].program.as_ref(), libc::SIGSTOP);
+    }
+
+    /// Resumes an entry.
+    pub fn resume_entry(&self, number: usize) {
+        self.recorder.fault(format!("resume entry{number}"));
+        signal(self.entries[number].program.as_ref(), libc::SIGCONT);
+    }
+
+    /// Pauses a sidecar.
+    pub fn pause_sidecar(&self, number: usize) {
+        self.recorder.fault(format!("pause sidecar{number}"));
+        signal(self.sidecars[number].program.as_ref(), libc::SIGSTOP);
+    }
+
+    /// Resumes a sidecar.
+    pub fn resume_sidecar(&self, number: usize) {
+        self.recorder.fault(format!("resume sidecar{number}"));
+        signal(self.sidecars[number].program.as_ref(), libc::SIGCONT);
+    }
+
+    /// Asks an entry to stop and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// `Timeout`.
+    pub fn stop_entry(&mut self, number: usize) -> Result<()> {
+        let entry = &mut self.entries[number];
+        let process = entry.settings.name.clone();
+        stop(&self.recorder, entry.program.take(), process, None)
+    }
+
+    /// Asks a sidecar to stop and waits for its end.
+    ///
+    /// # Errors
+    ///
+    /// `Timeout`.
+    pub fn stop_sidecar(&mut self, number: usize) -> Result<()> {
+        let sidecar = &mut self.sidecars[number];
+        let process = sidecar.settings.name.clone();
+        let upstream = sidecar.upstream_name.clone();
+        let leaving = Event::Leaving { at_us: now_us(), upstream: upstream.clone() };
+        self.recorder.add(leaving);
+        stop(&self.recorder, sidecar.program.take(), process, Some(upstream))
+    }
+
+    /// Starts that an upstream has seen so far.
+    ///
+    /// # Errors
+    ///
+    /// If the stand-in does not answer.
+    pub fn starts(&self, number: usize) -> Result<Vec<Start>> {
+        let sidecar = &self.sidecars[number];
+        let name = &sidecar.upstream_name;
+        let wrong = |what: String| Fault::Unexpected(format!("starts of {name}: {what}"));
+        let reply = http::get(&self.agent, sidecar.settings.upstream, "/starts");
+        let reply = reply.map_err(|error| wrong(error.to_string()))?;
+        serde_json::from_slice(&reply.body).map_err(|error| wrong(error.to_string()))
+    }
+
+    /// Number of starts that all upstreams have seen so far.
+    ///
+    /// # Errors
+    ///
+    /// If a stand-in does not answer.
+    pub fn count_starts(&self) -> Result<usize> {
+        let mut count = 0;
+        for number in 0..self.sidecars.len() {
+            count += self.starts(number)?.len();
+        }
+        Ok(count)
+    }
+
+    /// Waits until the upstreams have seen at least this many starts.
+    ///
+    /// # Errors
+    ///
+    /// `Timeout`, or if a stand-in does not answer.
+    pub fn wait_starts(&self, count: usize) -> Result<()> {
+        until(&format!("{count} starts"), || match self.count_starts() {
+            Ok(seen) if seen >= count => Some(Ok(())),
+            Ok(_) => None,
+            Err(fault) => Some(Err(fault)),
+        })?
+    }
+
+    /// Waits until no task runs at any upstream.
+    ///
+    /// # Errors
+    ///
+    /// `Timeout`, or if a stand-in does not answer.
+    pub fn wait_idle(&self) -> Result<()> {
+        until("end of all tasks", || {
+            for number in 0..self.sidecars.len() {
+                match self.starts(number) {
+                    Ok(starts) if starts.iter().all(|start| start.end_us.is_some()) => {}
+                    Ok(_) => return None,
+                    Err(fault) => return Some(Err(fault)),
+                }
+            }
+            Some(Ok(()))
+        })?
+    }
+
+    /// Collects the upstreams' starts and checks the history.
+    ///
+    /// # Errors
+    ///
+    /// If a stand-in does not answer.
+    pub fn finish(&mut self) -> Result<Verdict> {
+        let mut events = self.recorder.events();
+        let mut count = 0;
+        for (number, sidecar) in self.sidecars.iter().enumerate() {
+            for start in self.starts(number)? {
+                count += 1;
+                events.push(Event::Ran {
+                    upstream: sidecar.upstream_name.clone(),
+                    work: self.recorder.work_of(&start.job),
+                    task: start.task,
+                    start_us: start.start_us,
+                    end_us: start.end_us,
+                });
+            }
+        }
+        let verdict = Verdict {
+            seed: self.plan.seed,
+            events: events.len(),
+            starts: count,
+            violations: check::violations(&events),
+            malformed: self.recorder.faulty_answers(),
+        };
+        println!("{verdict}{:?}", self.recorder.tally());
+        self.keep_folder = !(verdict.violations.is_empty() && verdict.malformed.is_empty());
+        Ok(verdict)
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        if self.keep_folder || std::thread::panicking() {
+            println!("logs are in {}", self.folder.display());
+        } else {
+            let _ = fs::remove_dir_all(&self.folder);
+        }
+    }
+}
+
+fn daemon(folder: &Path, role: &str, name: &str, text: &str) -> Result<Program> {
+    let path = folder.join(format!("{name}.ini"));
+    fs::write(&path, text).map_err(|error| Fault::Io(path.display().to_string(), error))?;
+    let arguments = ["--settings".to_owned(), path.display().to_string()];
+    process::spawn(&format!("kingcup-{role}"), name, &arguments, folder)
+}
+
+fn signal(program: Option<&Program>, signal: i32) {
+    if let Some(program) = program {
+        program.signal(signal);
+    }
+}
+
+fn stop(
+    recorder: &Recorder,
+    program: Option<Program>,
+    process: String,
+    upstream: Option<String>,
+) -> Result<()> {
+    let Some(mut program) = program else { return Ok(()) };
+    println!("{} stop {process}", now_us());
+    recorder.add(Event::Stopping { at_us: now_us(), process: process.clone(), upstream });
+    program.signal(libc::SIGTERM);
+    let status = program.wait_end()?;
+    recorder.add(Event::Stopped { at_us: now_us(), process, exit_code: exit_code(status) });
+    Ok(())
+}
--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -1,4 +1,5 @@
 //! History checker, process harness and integration tests.
 
 pub mod check;
+pub mod harness;
 pub mod history;
