--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,3 +14,5 @@
 pub mod id;
 pub mod job;
 pub mod route;
+pub mod key;
+pub mod rendezvous;
