--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -171,6 +171,11 @@
         self.links.iter()
     }
 
+    /// Bytes that wait to be sent, over all connections.
+    pub fn unsent(&self) -> usize {
+        self.links.values().map(|link| link.stream.out.len()).sum()
+    }
+
     /// Queues a frame; `flush` sends it. False if the connection is gone or the frame too long.
     pub fn send(&mut self, id: Id, frame: &Frame<'_>) -> bool {
         let Some(link) = self.links.get_mut(id) else {
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -1,17 +1,28 @@
 //! The sidecar: the only gate through which an upstream gets work.
 
+pub mod entries;
+pub mod peers;
+pub mod status;
+pub mod translate;
 pub mod upstream;
 
 use std::{
-    collections::{HashMap, VecDeque},
     io,
     net::SocketAddr,
-    time::Duration,
+    sync::Arc,
+    time::{Duration, Instant},
 };
 
-use kingcup_dispatch::code::Code;
-use kingcup_wire::{Announce, Finish, Frame, Hello, Key, Load, Outcome, Refuse, Start, Welcome};
-use stakker::{actor, after, call, fwd_to, ret_shutdown, stop, sync::ChannelGuard, Stakker, CX};
+use kingcup_dispatch::{
+    code::Code,
+    config::{self, Held, Source, Store, Verdict},
+    gate::{self, Effect, Gate},
+};
+use kingcup_wire::{Announce, Document, Finish, Frame, Hello, Key, Refuse, Role, Start, Welcome};
+use stakker::{
+    actor, after, call, fwd_to, ret_shutdown, stop, sync::ChannelGuard, timer_min, MinTimerKey,
+    Stakker, CX,
+};
 use stakker_mio::{mio::net::TcpListener, MioSource, Ready};
 
 use crate::{
@@ -20,43 +31,46 @@
     link::{self, Closed, Id, Input, Table},
     reactor,
     settings::sidecar::Settings,
+    sidecar::{
+        entries::Entries,
+        peers::{Peer, Peers},
+        status::Counters,
+    },
 };
 
-/// Interval of announcements, until an entry asks for another.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Starts that wait for a slot.
-const QUEUE: usize = 64;
-
-/// Identity of an entry's connection.
-#[derive(Debug)]
-struct Peer {
-    name: String,
-    incarnation: u64,
-}
-
-/// A start that waits for a slot.
-#[derive(Debug)]
-struct Waiting {
-    link: Id,
-    sequence: u64,
-    call: upstream::Call,
-}
+/// Interval of announcements that are due, of fetches and of checks on links.
+const TICK: Duration = Duration::from_millis(100);
+/// Links at once; each entry has one, and a second while it replaces the first.
+const LINKS: usize = 1024;
+/// A link on which no `Hello` arrives is closed after this time, in milliseconds.
+const HELLO_MS: u64 = 5_000;
+/// A link whose entry is silent on it and as to announcements is closed after this time, in
+/// milliseconds. It covers ten intervals of announcements when entries ask for longer ones.
+const SILENT_MS: u64 = 30_000;
+/// Links stay open this long after the final answer, so that entries read it before the end of the
+/// connection.
+const LINGER: Duration = Duration::from_millis(300);
+/// Largest body at the operators' address, in bytes.
+const ADMIN_BYTES: usize = 64 << 10;
 
 /// A running sidecar.
 pub struct Sidecar {
     settings: Settings,
-    incarnation: u64,
+    gate: Gate,
+    gate_timer: MinTimerKey,
+    config: Store,
+    path: Arc<str>,
     links: Table,
-    peers: HashMap<Id, Peer>,
+    peers: Peers,
+    entries: Entries,
     listener: MioSource<TcpListener>,
     address: SocketAddr,
     port: Port,
     announced: u64,
     callers: upstream::Callers,
-    running: HashMap<u64, (Id, u64)>,
-    next_call: u64,
-    waiting: VecDeque<Waiting>,
-    closing: bool,
+    counters: Counters,
+    stopping: bool,
+    lingering: bool,
     _signals: ChannelGuard,
 }
 
@@ -85,65 +99,136 @@
         let datagrams = fwd_to!([cx], datagrams() as (Ready));
         let port = Port::bind(cx, address, key.clone(), datagrams)?;
         let admin = fwd_to!([cx], admin() as (http::Call));
-        http::bind(cx, settings.admin, 64 << 10, |_| Answer::text(503, ""), admin)?;
+        http::bind(cx, settings.admin, ADMIN_BYTES, |_| Answer::text(503, ""), admin)?;
         let finished = fwd_to!([cx], finished() as (upstream::Done));
         let callers = upstream::spawn(cx, settings.upstream, settings.slots, finished)?;
         let signal = fwd_to!([cx], signal() as (i32));
         let signals = reactor::signals(cx, signal)?;
-        call!([cx], announce());
+        call!([cx], tick());
         let incarnation = reactor::incarnation();
         log::info!(
             "event=started role=sidecar service={} incarnation={incarnation:x} internal={address}",
             settings.service
         );
+        let peers = settings.entries.len();
         Ok(Self {
-            settings,
-            incarnation,
+            gate: Gate::open(gate::Settings::of_slots(settings.slots), incarnation),
+            gate_timer: MinTimerKey::default(),
+            config: Store::open(now_ms(cx), config::SETTLE_MS, peers),
+            path: Arc::from("/"),
             links: Table::open(key),
-            peers: HashMap::new(),
+            peers: Peers::default(),
+            entries: Entries::open(&settings.entries),
             listener,
             address,
             port,
             announced: 0,
             callers,
-            running: HashMap::new(),
-            next_call: 0,
-            waiting: VecDeque::new(),
-            closing: false,
+            counters: Counters::default(),
+            stopping: false,
+            lingering: false,
             _signals: signals,
+            settings,
         })
     }
 
-    fn announce(&mut self, cx: CX![]) {
-        after!(ANNOUNCE_INTERVAL, [cx], announce());
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        let now_ms = now_ms(cx);
+        self.announce(false, now_ms);
+        for name in self.entries.forget_silent(now_ms) {
+            self.config.forget(&name);
+        }
+        if self.config.tick(now_ms).contains(&self.settings.service) {
+            self.put_in_force(reactor::now_us(cx));
+        }
+        self.fetch(now_ms);
+        self.close_silent(cx);
+        self.settle(cx);
+    }
+
+    /// Announces the upstream to entries that are due, or to all.
+    fn announce(&mut self, all: bool, now_ms: u64) {
+        let due = self.entries.due(all, now_ms);
+        if due.is_empty() {
+            return;
+        }
         self.announced += 1;
         let address = self.address.to_string();
         let frame = Frame::Announce(Announce {
             name: &self.settings.process.name,
-            incarnation: self.incarnation,
+            incarnation: self.gate.incarnation(),
             sequence: self.announced,
             service: &self.settings.service,
             zone: &self.settings.process.zone,
             address: &address,
             slots: self.settings.slots,
-            closing: self.closing,
-            revision: 0,
+            closing: self.gate.is_closing(),
+            revision: self.gate.revision(),
         });
-        for peer in &self.settings.entries {
-            let _ = self.port.send(peer.address, &frame);
+        for to in due {
+            self.counters.announcements += 1;
+            let _ = self.port.send(to, &frame);
         }
     }
 
-    fn datagrams(&mut self, _cx: CX![], _: Ready) {
+    fn datagrams(&mut self, cx: CX![], _: Ready) {
+        let now_ms = now_ms(cx);
         let mut buffer = Vec::new();
         while self.port.receive(&mut buffer).is_some() {
-            let _ = self.port.decode(&buffer);
+            if let Some(Frame::AnnounceAck(ack)) = self.port.decode(&buffer) {
+                self.entries.acknowledged(&ack, now_ms);
+                self.config.report(ack.from.name, &self.settings.service, ack.revision);
+            }
+        }
+        self.fetch(now_ms);
+        self.settle(cx);
+    }
+
+    /// Asks entries for newer documents that they reported.
+    fn fetch(&mut self, now_ms: u64) {
+        for fetch in self.config.fetches(now_ms) {
+            match self.peers.link_of(&fetch.peer) {
+                Some(link) => self.send(link, &Frame::Fetch(&fetch.service)),
+                None => self.config.note_unreachable(&fetch.service, &fetch.peer),
+            }
+        }
+    }
+
+    fn document(&mut self, document: &Document<'_>, cx: CX![]) {
+        if document.service != self.settings.service || document.revision == 0 {
+            return;
+        }
+        let held = match Held::parse(document.text) {
+            Ok(held) => held,
+            Err(fault) => return log::warn!("event=document_rejected fault=\"{fault}\""),
+        };
+        if held.envelope.document.service != self.settings.service {
+            return;
+        }
+        let verdict = self.config.offer(held, Source::Peer, now_ms(cx));
+        log::info!("event=document revision={} verdict=\"{verdict}\"", document.revision);
+        if verdict == Verdict::Applied {
+            self.put_in_force(reactor::now_us(cx));
+        }
+    }
+
+    fn put_in_force(&mut self, now: u64) {
+        let Some(held) = self.config.held(&self.settings.service) else { return };
+        let document = &held.envelope.document;
+        if self.gate.apply(document, held.revision(), now) {
+            self.path = Arc::from(document.upstream_path.as_str());
+            log::info!("event=document_in_force revision={}", held.revision());
         }
     }
 
     fn accept(&mut self, cx: CX![], _: Ready) {
         let now_us = reactor::now_us(cx);
         while let Ok((stream, address)) = self.listener.accept() {
+            if self.links.len() >= LINKS {
+                log::warn!("event=accept_refused peer={address} reason=too_many_links");
+                continue;
+            }
             if let Err(error) = self.links.accept(cx, stream, address, now_us, Self::ready) {
                 log::warn!("event=accept_failed peer={address} error={error:?}");
             }
@@ -152,155 +237,323 @@
 
     fn ready(&mut self, cx: CX![], id: Id, ready: Ready) {
         if ready.is_writable() && !self.links.writable(id) {
-            return self.close(id, &Closed::End);
+            self.close(id, &Closed::End, reactor::now_us(cx));
+            return self.settle(cx);
         }
         let Some(mut input) = self.links.read(id, reactor::now_us(cx)) else { return };
-        self.frames(id, &mut input);
-        if let Some(closed) = self.links.put_back(id, input) {
-            self.close(id, &closed);
+        let sound = self.frames(cx, id, &mut input);
+        match self.links.put_back(id, input) {
+            Some(closed) => self.close(id, &closed, reactor::now_us(cx)),
+            None if !sound => self.close(id, &Closed::End, reactor::now_us(cx)),
+            None => {}
         }
-        self.flush();
+        self.settle(cx);
     }
 
-    fn frames(&mut self, id: Id, input: &mut Input) {
+    /// Handles the frames of one read; false if the connection is to be closed.
+    fn frames(&mut self, cx: CX![], id: Id, input: &mut Input) -> bool {
+        let now = reactor::now_us(cx);
         while let Some(frame) = input.take_frame() {
-            match frame {
-                Frame::Hello(hello) => self.hello(id, &hello),
-                Frame::Start(start) => self.start(id, &start),
-                Frame::Probe(value) => {
-                    self.links.send(id, &Frame::ProbeAck(value));
+            self.counters.frames_received += 1;
+            let peer = self.peers.key(id);
+            match (frame, peer) {
+                (Frame::Hello(hello), None) => {
+                    if !self.hello(id, &hello, now) {
+                        return false;
+                    }
+                }
+                (Frame::Probe(value), _) => self.send(id, &Frame::ProbeAck(value)),
+                (Frame::Start(start), Some(peer)) => self.start(peer, &start, now),
+                (Frame::Recall(recall), Some(peer)) => {
+                    self.gate.recall(peer, &recall.sequences, recall.stop, now);
+                }
+                (Frame::Inquire(inquire), Some(peer)) => {
+                    self.gate.inquire(peer, &inquire.sequences, now);
+                }
+                (Frame::Fetch(service), Some(_)) => self.send_document(id, service),
+                (Frame::Document(document), Some(_)) => self.document(&document, cx),
+                (Frame::ProbeAck(_) | Frame::Closing, Some(_)) => {}
+                (_, _) => {
+                    log::warn!("event=frame_unexpected greeted={}", peer.is_some());
+                    return false;
                 }
-                _ => log::debug!("event=frame_ignored"),
             }
+            self.carry_out();
         }
+        true
     }
 
-    fn hello(&mut self, id: Id, hello: &Hello<'_>) {
-        let peer = Peer { name: hello.name.to_owned(), incarnation: hello.incarnation };
-        log::info!("event=entry_connected entry={} incarnation={:x}", peer.name, peer.incarnation);
-        self.peers.insert(id, peer);
+    /// Greets an entry; false if its connection is to be closed.
+    fn hello(&mut self, id: Id, hello: &Hello<'_>, now: u64) -> bool {
+        let Hello { name: entry, incarnation, generation, settled, .. } = *hello;
+        if hello.role != Role::Entry {
+            return false;
+        }
+        let key = match self.gate.hello(entry, incarnation, generation, settled, now) {
+            Ok(key) => key,
+            Err(code) => {
+                log::info!(
+                    "event=entry_refused entry={entry} incarnation={incarnation:x} \
+                     generation={generation} code={}",
+                    code.number()
+                );
+                return false;
+            }
+        };
+        log::info!(
+            "event=entry_connected entry={entry} incarnation={incarnation:x} \
+             generation={generation}"
+        );
+        self.peers.insert(key, Peer { entry: entry.to_owned(), incarnation, link: id });
+        let Some(load) = self.gate.load(key, now) else { return false };
+        let name = self.settings.process.name.clone();
+        let service = self.settings.service.clone();
+        let zone = self.settings.process.zone.clone();
         let welcome = Frame::Welcome(Welcome {
-            name: &self.settings.process.name,
-            incarnation: self.incarnation,
-            service: &self.settings.service,
-            zone: &self.settings.process.zone,
+            name: &name,
+            incarnation: self.gate.incarnation(),
+            service: &service,
+            zone: &zone,
             slots: self.settings.slots,
-            closing: self.closing,
-            load: Load::default(),
+            closing: self.gate.is_closing(),
+            load: translate::load(&load),
         });
-        self.links.send(id, &welcome);
-    }
-
-    fn start(&mut self, id: Id, start: &Start<'_>) {
-        let refused = if !self.peers.contains_key(&id) {
-            Some(Code::BadRequest)
-        } else if self.closing {
-            Some(Code::Closing)
-        } else if self.waiting.len() >= QUEUE {
-            Some(Code::Busy)
-        } else {
-            None
-        };
-        if let Some(code) = refused {
-            let (sequence, code) = (start.sequence, code.number());
-            self.links.send(id, &Frame::Refuse(Refuse { sequence, code, load: Load::default() }));
-            return;
+        self.send(id, &welcome);
+        true
+    }
+
+    fn start(&mut self, peer: gate::Peer, start: &Start<'_>, now: u64) {
+        self.counters.starts += 1;
+        self.gate.start(peer, &translate::start(start), now);
+    }
+
+    fn send_document(&mut self, id: Id, service: &str) {
+        let held = self.config.held(service).cloned();
+        let (revision, text) = held.as_ref().map_or((0, ""), |held| (held.revision(), &held.text));
+        self.send(id, &Frame::Document(Document { service, revision, text }));
+    }
+
+    fn send(&mut self, id: Id, frame: &Frame<'_>) {
+        if self.links.send(id, frame) {
+            self.counters.frames_sent += 1;
         }
-        let call = upstream::Call {
-            number: 0,
-            path: "/run".to_owned(),
-            job: start.job.to_owned(),
-            task: start.task,
-            timeout: Duration::from_secs(30),
-            payload: start.payload.to_vec(),
-        };
-        self.waiting.push_back(Waiting { link: id, sequence: start.sequence, call });
-        self.fill();
-    }
-
-    fn fill(&mut self) {
-        while self.running.len() < usize::from(self.settings.slots) {
-            let Some(waiting) = self.waiting.pop_front() else { return };
-            self.next_call += 1;
-            let mut call = waiting.call;
-            call.number = self.next_call;
-            log::info!("event=task_started job={} task={}", call.job, call.task);
-            self.running.insert(self.next_call, (waiting.link, waiting.sequence));
-            self.callers.call(call);
+    }
+
+    fn send_to(&mut self, peer: gate::Peer, frame: &Frame<'_>) {
+        if let Some(link) = self.peers.get(peer).map(|peer| peer.link) {
+            self.send(link, frame);
+        }
+    }
+
+    /// Carries out what the gate decided.
+    fn carry_out(&mut self) {
+        let effects: Vec<Effect> = self.gate.drain().collect();
+        for effect in effects {
+            self.carry_out_one(effect);
+        }
+    }
+
+    fn carry_out_one(&mut self, effect: Effect) {
+        match effect {
+            Effect::Call { slot, peer, sequence, job, task, kind, timeout_ms, payload } => {
+                self.counters.calls += 1;
+                let (entry, incarnation) = self.names(peer);
+                log::info!(
+                    "event=start decision=call job={job} task={task} kind={kind} entry={entry} \
+                     incarnation={incarnation:x} sequence={sequence} running={} queued={}",
+                    self.gate.running(),
+                    self.gate.queued()
+                );
+                let timeout = Duration::from_millis(u64::from(timeout_ms));
+                let path = self.path.clone();
+                self.callers.call(upstream::Call { slot, path, job, task, timeout, payload });
+            }
+            Effect::Finish { peer, sequence, outcome, queue_us, run_us, load, body } => {
+                let outcome = translate::outcome(outcome);
+                let load = translate::load(&load);
+                let body = &body;
+                let finish = Finish { sequence, outcome, queue_us, run_us, load, body };
+                self.send_to(peer, &Frame::Finish(finish));
+            }
+            Effect::Refuse { peer, sequence, code, load } => {
+                self.counters.refused += 1;
+                let (entry, incarnation) = self.names(peer);
+                log::info!(
+                    "event=start decision=refuse code={} reason=\"{code}\" entry={entry} \
+                     incarnation={incarnation:x} sequence={sequence} running={} queued={}",
+                    code.number(),
+                    self.gate.running(),
+                    self.gate.queued()
+                );
+                let load = translate::load(&load);
+                let refuse = Refuse { sequence, code: code.number(), load };
+                self.send_to(peer, &Frame::Refuse(refuse));
+            }
+            Effect::Recalled { peer, fates } => {
+                self.send_to(peer, &Frame::Recalled(translate::fates(&fates)));
+            }
+            Effect::Fates { peer, fates } => {
+                self.send_to(peer, &Frame::Fates(translate::fates(&fates)));
+            }
+            Effect::Load { peer, load } => {
+                self.send_to(peer, &Frame::Load(translate::load(&load)));
+            }
+            // A call on a thread cannot be interrupted. Its answer is dropped by the gate.
+            Effect::Stop { .. } => log::info!("event=call_abandoned"),
+            Effect::Close { peer } => {
+                if let Some(link) = self.peers.get(peer).map(|peer| peer.link) {
+                    log::info!("event=link_closed reason=replaced");
+                    self.peers.remove(link);
+                    self.links.close(link);
+                }
+            }
         }
     }
 
+    fn names(&self, peer: gate::Peer) -> (&str, u64) {
+        self.peers.get(peer).map_or(("-", 0), |peer| (&peer.entry, peer.incarnation))
+    }
+
     fn finished(&mut self, cx: CX![], done: upstream::Done) {
-        let Some((id, sequence)) = self.running.remove(&done.number) else { return };
-        self.links.send(
-            id,
-            &Frame::Finish(Finish {
-                sequence,
-                outcome: done.outcome,
-                queue_us: 0,
-                run_us: done.run_us,
-                load: Load::default(),
-                body: &done.body,
-            }),
-        );
-        self.fill();
-        self.flush();
-        self.stop_if_idle(cx);
+        self.gate.finished(done.slot, done.outcome, done.body, reactor::now_us(cx));
+        self.settle(cx);
     }
 
-    fn flush(&mut self) {
+    fn gate_tick(&mut self, cx: CX![]) {
+        self.gate.tick(reactor::now_us(cx));
+        self.settle(cx);
+    }
+
+    /// Carries out what the gate decided, sends what is queued and sets the gate's timer.
+    fn settle(&mut self, cx: CX![]) {
+        self.carry_out();
         for id in self.links.flush() {
-            self.close(id, &Closed::End);
+            self.close(id, &Closed::End, reactor::now_us(cx));
+        }
+        if let Some(due) = self.gate.next_tick() {
+            let due = cx.start_instant() + Duration::from_micros(due);
+            // The loop's clock only moves forward, and not past the present.
+            let due = due.max(cx.now() + Duration::from_millis(1));
+            self.set_gate_timer(cx, due);
         }
+        self.stop_if_idle(cx);
     }
 
-    fn close(&mut self, id: Id, closed: &Closed) {
-        log::info!("event=link_closed reason={closed:?}");
-        self.peers.remove(&id);
+    fn set_gate_timer(&mut self, cx: CX![], due: Instant) {
+        timer_min!(&mut self.gate_timer, due, [cx], gate_tick());
+    }
+
+    fn close(&mut self, id: Id, closed: &Closed, now: u64) {
         self.links.close(id);
+        let Some((key, peer)) = self.peers.remove(id) else { return };
+        let entry = peer.entry;
+        log::info!("event=link_closed entry={entry} reason={closed:?}");
+        self.gate.disconnected(key, now);
+    }
+
+    /// Closes links of entries that have gone without closing them.
+    fn close_silent(&mut self, cx: CX![]) {
+        let now_us = reactor::now_us(cx);
+        let silent = |id: Id, heard_us: u64| {
+            let heard_ms = heard_us / 1000;
+            let peer = self.peers.key(id).and_then(|key| self.peers.get(key));
+            match peer {
+                Some(peer) => {
+                    let heard_ms = heard_ms.max(self.entries.heard_ms(&peer.entry));
+                    now_us / 1000 >= heard_ms + SILENT_MS
+                }
+                None => now_us / 1000 >= heard_ms + HELLO_MS,
+            }
+        };
+        let links = self.links.iter();
+        let gone: Vec<Id> =
+            links.filter(|(id, link)| silent(*id, link.heard_us)).map(|(id, _)| id).collect();
+        for id in gone {
+            self.close(id, &Closed::End, now_us);
+        }
     }
 
-    fn admin(&mut self, _cx: CX![], call: http::Call) {
-        let answer = match call.path.as_str() {
-            "/healthz" => Answer::text(200, "ok\n"),
-            "/readyz" if self.closing => Answer::text(503, "closing\n"),
-            "/readyz" => Answer::text(200, "ready\n"),
+    fn admin(&mut self, cx: CX![], call: http::Call) {
+        let answer = match (call.method.as_str(), call.path.as_str()) {
+            ("GET", "/healthz") => Answer::text(200, "ok\n"),
+            ("GET", "/readyz") => self.readiness(),
+            ("GET", "/status") => self.status(now_ms(cx)),
+            ("POST", "/drain") => {
+                self.drain(cx);
+                self.status(now_ms(cx))
+            }
+            (_, "/healthz" | "/readyz" | "/status" | "/drain") => {
+                Answer::text(405, "method not allowed\n")
+            }
             _ => Answer::text(404, "not found\n"),
         };
         call.reply.send(answer);
+        self.settle(cx);
     }
 
-    fn signal(&mut self, cx: CX![], signal: i32) {
-        log::info!("event=stopping signal={signal}");
-        self.closing = true;
-        let waiting = std::mem::take(&mut self.waiting);
-        for Waiting { link, sequence, .. } in waiting {
-            let code = Code::Closing.number();
-            let refuse = Refuse { sequence, code, load: Load::default() };
-            self.links.send(link, &Frame::Refuse(refuse));
+    fn readiness(&self) -> Answer {
+        if self.gate.is_closing() {
+            return Answer::text(503, "closing\n");
         }
-        let links: Vec<Id> = self.peers.keys().copied().collect();
+        if self.gate.revision() == 0 {
+            return Answer::text(503, format!("{}\n", Code::NoDocument));
+        }
+        Answer::text(200, "ready\n")
+    }
+
+    fn status(&self, now_ms: u64) -> Answer {
+        let Self { settings, gate, entries, peers, counters, .. } = self;
+        let status = status::status(settings, gate, entries, peers, *counters, now_ms);
+        match serde_json::to_vec(&status) {
+            Ok(body) => Answer::json(200, body),
+            Err(error) => Answer::text(500, error.to_string()),
+        }
+    }
+
+    /// Closes the gate and tells the entries, on their links and by announcement.
+    fn drain(&mut self, cx: CX![]) {
+        if self.gate.is_closing() {
+            return;
+        }
+        log::info!("event=draining running={} queued={}", self.gate.running(), self.gate.queued());
+        self.gate.close(reactor::now_us(cx));
+        let links: Vec<Id> = self.peers.iter().map(|peer| peer.link).collect();
         for id in links {
-            self.links.send(id, &Frame::Closing);
+            self.send(id, &Frame::Closing);
         }
-        self.flush();
-        self.stop_if_idle(cx);
+        self.announce(true, now_ms(cx));
+    }
+
+    fn signal(&mut self, cx: CX![], signal: i32) {
+        if std::mem::replace(&mut self.stopping, true) {
+            return;
+        }
+        log::info!("event=stopping signal={signal}");
+        self.drain(cx);
+        after!(Duration::from_millis(self.settings.stop_timeout_ms), [cx], stop_late());
+        self.settle(cx);
     }
 
     fn stop_if_idle(&mut self, cx: CX![]) {
-        if self.closing && self.running.is_empty() {
-            log::info!("event=stopped");
-            stop!(cx);
+        let idle = self.gate.running() == 0 && self.links.unsent() == 0;
+        if self.stopping && idle && !self.lingering {
+            self.lingering = true;
+            after!(LINGER, [cx], stop());
         }
     }
-}
 
-/// Outcome of a task whose code says whether it ran.
-pub(crate) fn outcome(code: Code) -> Outcome {
-    use kingcup_dispatch::code::Fate;
-    match code.fate() {
-        Fate::Complete => Outcome::Done,
-        Fate::Failed => Outcome::Failed(code.number()),
-        Fate::NotRun | Fate::MayHaveRun => Outcome::Unknown(code.number()),
+    fn stop(&mut self, cx: CX![]) {
+        log::info!("event=stopped");
+        stop!(cx);
+    }
+
+    fn stop_late(&mut self, cx: CX![]) {
+        log::warn!("event=stopped reason=stop_timeout running={}", self.gate.running());
+        stop!(cx);
     }
 }
+
+/// Milliseconds since the loop was opened.
+fn now_ms(core: &stakker::Core) -> u64 {
+    reactor::now_us(core) / 1000
+}
--- /dev/null
+++ b/crates/node/src/sidecar/status.rs
@@ -0,0 +1,102 @@
+//! What operators are told.
+
+use kingcup_dispatch::gate::Gate;
+use serde::Serialize;
+
+use crate::{
+    settings::sidecar::Settings,
+    sidecar::{entries::Entries, peers::Peers},
+};
+
+/// Events counted since the start.
+#[derive(Debug, Default, Clone, Copy, Serialize)]
+pub struct Counters {
+    /// Starts received.
+    pub starts: u64,
+    /// Calls made to the upstream.
+    pub calls: u64,
+    /// Starts refused as not run.
+    pub refused: u64,
+    /// Frames received on links.
+    pub frames_received: u64,
+    /// Frames sent on links.
+    pub frames_sent: u64,
+    /// Announcements sent.
+    pub announcements: u64,
+}
+
+/// An entry, as this sidecar sees it.
+#[derive(Debug, Serialize)]
+pub struct Entry<'a> {
+    /// Name of the entry.
+    pub name: &'a str,
+    /// It has a connection to this sidecar.
+    pub connected: bool,
+    /// Time since it last acknowledged an announcement, in milliseconds.
+    pub silent_ms: u64,
+}
+
+/// Answer to `GET /status`.
+#[derive(Debug, Serialize)]
+pub struct Status<'a> {
+    /// Name of the sidecar.
+    pub name: &'a str,
+    /// Its incarnation, in hexadecimal.
+    pub incarnation: String,
+    /// Service whose upstream it fronts.
+    pub service: &'a str,
+    /// Availability zone.
+    pub zone: &'a str,
+    /// Address of the upstream.
+    pub upstream: String,
+    /// Revision of the document in force; 0 if there is none.
+    pub revision: u64,
+    /// It takes no new work.
+    pub closing: bool,
+    /// It takes no new work and nothing runs any more.
+    pub drained: bool,
+    /// Slots of the upstream.
+    pub slots: u16,
+    /// Calls that have not ended.
+    pub running: usize,
+    /// Starts that wait for a slot.
+    pub queued: usize,
+    /// Start records kept.
+    pub records: usize,
+    /// Entries known.
+    pub entries: Vec<Entry<'a>>,
+    /// Events since the start.
+    pub counters: Counters,
+}
+
+/// Makes the answer.
+pub fn status<'a>(
+    settings: &'a Settings,
+    gate: &Gate,
+    entries: &'a Entries,
+    peers: &Peers,
+    counters: Counters,
+    now_ms: u64,
+) -> Status<'a> {
+    let entry = |(name, heard_ms): (&'a str, u64)| Entry {
+        name,
+        connected: peers.iter().any(|peer| peer.entry == name),
+        silent_ms: now_ms.saturating_sub(heard_ms),
+    };
+    Status {
+        name: &settings.process.name,
+        incarnation: format!("{:x}", gate.incarnation()),
+        service: &settings.service,
+        zone: &settings.process.zone,
+        upstream: settings.upstream.to_string(),
+        revision: gate.revision(),
+        closing: gate.is_closing(),
+        drained: gate.is_closing() && gate.running() == 0,
+        slots: gate.slots(),
+        running: gate.running(),
+        queued: gate.queued(),
+        records: gate.records(),
+        entries: entries.iter().map(entry).collect(),
+        counters,
+    }
+}
--- /dev/null
+++ b/crates/node/src/sidecar/translate.rs
@@ -0,0 +1,55 @@
+//! Between the gate's types and the messages on the wire.
+
+use kingcup_dispatch::gate;
+use kingcup_wire::{Fate, Held, Load, Outcome, Start};
+
+/// A start as the gate takes it.
+pub fn start<'a>(start: &Start<'a>) -> gate::Start<'a> {
+    gate::Start {
+        sequence: start.sequence,
+        settled: start.settled,
+        job: start.job,
+        task: start.task,
+        kind: start.kind,
+        headroom: start.headroom,
+        more: start.more,
+        wait_ms: start.wait_ms,
+        payload: start.payload,
+    }
+}
+
+/// A load report.
+pub fn load(load: &gate::Load) -> Load<'_> {
+    Load {
+        revision: load.revision,
+        running: load.running(),
+        queued: load.queued,
+        window: load.window,
+    }
+}
+
+/// How a task ended.
+pub fn outcome(outcome: gate::Outcome) -> Outcome {
+    match outcome {
+        gate::Outcome::Done => Outcome::Done,
+        gate::Outcome::Failed(code) => Outcome::Failed(code.number()),
+        // The gate reports calls that did not run by a refusal.
+        gate::Outcome::Unknown(code) | gate::Outcome::NotRun(code) => {
+            Outcome::Unknown(code.number())
+        }
+    }
+}
+
+/// States of starts.
+pub fn fates(fates: &[gate::Fate]) -> Vec<Fate> {
+    fates.iter().map(|fate| Fate { sequence: fate.sequence, held: held(fate.held) }).collect()
+}
+
+fn held(held: gate::Held) -> Held {
+    match held {
+        gate::Held::Never => Held::Never,
+        gate::Held::Queued => Held::Queued,
+        gate::Held::Running => Held::Running,
+        gate::Held::Finished => Held::Finished,
+    }
+}
--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -8,26 +8,30 @@
         Arc, Mutex,
     },
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
-use kingcup_dispatch::code::Code;
-use kingcup_wire::Outcome;
+use kingcup_dispatch::{
+    code::{Code, Fate},
+    gate::{Outcome, Slot},
+};
 use stakker::{sync::Channel, Core, Fwd};
-use ureq::{Agent, Error};
-
-use super::outcome;
+use ureq::{Agent, Error, Timeout};
 
 /// Largest answer, in bytes.
 pub const ANSWER_BYTES: u64 = 1 << 20;
+/// Longest time to open a connection; the upstream runs beside the sidecar.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Idle connections are closed after this time, before common upstreams close them.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// One task to run.
 #[derive(Debug)]
 pub struct Call {
-    /// Number that `Done` carries back.
-    pub number: u64,
+    /// Slot that the task runs in.
+    pub slot: Slot,
     /// Path at the upstream.
-    pub path: String,
+    pub path: Arc<str>,
     /// Job ID.
     pub job: String,
     /// Index of the task in the job.
@@ -41,12 +45,10 @@
 /// A task that ended.
 #[derive(Debug)]
 pub struct Done {
-    /// Number of the call.
-    pub number: u64,
+    /// Slot that the task ran in.
+    pub slot: Slot,
     /// How it ended.
     pub outcome: Outcome,
-    /// Time in the slot, in microseconds.
-    pub run_us: u32,
     /// Answer, or what the upstream said of the failure.
     pub body: Vec<u8>,
 }
@@ -81,13 +83,7 @@
     let done = Arc::new(done);
     let (calls, receiver) = channel();
     let receiver = Arc::new(Mutex::new(receiver));
-    let agent = Agent::new_with_config(
-        Agent::config_builder()
-            .http_status_as_error(false)
-            .max_idle_connections(usize::from(slots))
-            .max_idle_connections_per_host(usize::from(slots))
-            .build(),
-    );
+    let agent = agent(slots);
     for _ in 0..slots {
         let (receiver, done, agent) = (receiver.clone(), done.clone(), agent.clone());
         thread::Builder::new()
@@ -97,6 +93,21 @@
     Ok(Callers { calls })
 }
 
+/// Makes an agent for calls to an upstream of this many slots. A call is sent once: redirects are
+/// not followed, and proxies from the environment are not used.
+pub fn agent(slots: u16) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .proxy(None)
+        .timeout_connect(Some(CONNECT_TIMEOUT))
+        .max_idle_age(IDLE_TIMEOUT)
+        .max_idle_connections(usize::from(slots))
+        .max_idle_connections_per_host(usize::from(slots));
+    Agent::new_with_config(config.build())
+}
+
 fn serve(calls: &Mutex<Receiver<Call>>, done: &Channel<Done>, agent: &Agent, address: SocketAddr) {
     loop {
         let call = match calls.lock() {
@@ -104,14 +115,13 @@
             Err(_) => return,
         };
         let Ok(call) = call else { return };
-        let started = Instant::now();
         let (outcome, body) = run(agent, address, &call);
-        let run_us = started.elapsed().as_micros().min(u128::from(u32::MAX)) as u32;
-        done.send(Done { number: call.number, outcome, run_us, body });
+        done.send(Done { slot: call.slot, outcome, body });
     }
 }
 
-fn run(agent: &Agent, address: SocketAddr, call: &Call) -> (Outcome, Vec<u8>) {
+/// Calls the upstream and waits for the answer. Gives the answer, or the reason for the outcome.
+pub fn run(agent: &Agent, address: SocketAddr, call: &Call) -> (Outcome, Vec<u8>) {
     let result = agent
         .post(format!("http://{address}{}", call.path))
         .config()
@@ -123,20 +133,34 @@
         .send(&call.payload);
     let mut response = match result {
         Ok(response) => response,
-        Err(error) => return (outcome(code_of(&error)), error.to_string().into_bytes()),
+        Err(error) => return (outcome(&error), error.to_string().into_bytes()),
     };
     let status = response.status();
     match response.body_mut().with_config().limit(ANSWER_BYTES).read_to_vec() {
         Ok(body) if status.is_success() => (Outcome::Done, body),
-        Ok(body) => (outcome(Code::TaskFailed), body),
-        Err(Error::BodyExceedsLimit(_)) => (outcome(Code::AnswerTooLarge), Vec::new()),
-        Err(error) => (outcome(code_of(&error)), error.to_string().into_bytes()),
+        Ok(body) => (Outcome::Failed(Code::TaskFailed), body),
+        Err(Error::BodyExceedsLimit(_)) => (Outcome::Failed(Code::AnswerTooLarge), Vec::new()),
+        Err(error) => (outcome(&error), error.to_string().into_bytes()),
     }
 }
 
-fn code_of(error: &Error) -> Code {
-    match error {
+/// What an error says about whether the task ran. Only errors from before the connection was open
+/// prove that it did not.
+fn outcome(error: &Error) -> Outcome {
+    let code = match error {
+        Error::Timeout(Timeout::Connect | Timeout::Resolve) => Code::NoUpstream,
+        Error::ConnectionFailed | Error::HostNotFound => Code::NoUpstream,
+        Error::Io(error) if is_from_connect(error) => Code::NoUpstream,
         Error::Timeout(_) => Code::UpstreamTimeout,
         _ => Code::UpstreamLost,
+    };
+    match code.fate() {
+        Fate::NotRun => Outcome::NotRun(code),
+        _ => Outcome::Unknown(code),
     }
 }
+
+/// True for errors that the kernel reports only while a connection is being opened.
+fn is_from_connect(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::ConnectionRefused | io::ErrorKind::AddrNotAvailable)
+}
