--- /dev/null
+++ b/crates/node/tests/sidecar.rs
@@ -0,0 +1,362 @@
+//! The sidecar as a process, between an entry played by the test and the upstream's stand-in.
+
+use std::{
+    io::{Read, Write},
+    net::{Ipv4Addr, SocketAddr, TcpStream, UdpSocket},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use kingcup_dispatch::{
+    code::Code,
+    document::{Document, Envelope, Kind, Urgency},
+};
+use kingcup_standin::upstream::{Control, Server};
+use kingcup_wire::{
+    open_datagram, seal_datagram, AnnounceAck, Entry, Frame, Hello, Inquire, Key, Outcome, Reader,
+    Recall, Role, Start, Writer,
+};
+
+const SECRET: &str = "0123456789abcdef";
+/// Longest wait for anything, generous for a busy machine.
+const WAIT: Duration = Duration::from_secs(20);
+const SLOTS: usize = 2;
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+fn free_address() -> SocketAddr {
+    std::net::TcpListener::bind(loopback()).unwrap().local_addr().unwrap()
+}
+
+/// The sidecar with its upstream, and the entry's UDP port.
+struct Stage {
+    child: Child,
+    upstream: Server,
+    port: UdpSocket,
+    internal: SocketAddr,
+    admin: SocketAddr,
+    file: std::path::PathBuf,
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+impl Stage {
+    fn open() -> Self {
+        let upstream = Server::open(loopback()).unwrap();
+        let port = UdpSocket::bind(loopback()).unwrap();
+        port.set_read_timeout(Some(WAIT)).unwrap();
+        let (internal, admin) = (free_address(), free_address());
+        let text = format!(
+            "[process]\nname = s1\nzone = z1\nregion = r1\nsecret = {SECRET}\n\
+             [listen]\ninternal = {internal}\nadmin = {admin}\n\
+             [upstream]\nservice = ruilbeurs\naddress = {}\nslots = {SLOTS}\n\
+             [entries]\ne1 = {}\n",
+            upstream.address(),
+            port.local_addr().unwrap(),
+        );
+        let file = std::env::temp_dir().join(format!("kingcup-sidecar-{}.ini", internal.port()));
+        std::fs::write(&file, text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_kingcup-sidecar"))
+            .arg("--settings")
+            .arg(&file)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        Self { child, upstream, port, internal, admin, file }
+    }
+
+    /// Waits for an announcement and acknowledges it. Gives whether the sidecar is closing, and the
+    /// revision it has.
+    fn announcement(&self, revision: u64) -> (bool, u64) {
+        let key = Key::derive(SECRET);
+        let mut buffer = [0; 2048];
+        let (len, from) = self.port.recv_from(&mut buffer).unwrap();
+        let Ok(Frame::Announce(announce)) = open_datagram(&key, &buffer[..len]) else {
+            panic!("not an announcement");
+        };
+        let address = self.port.local_addr().unwrap().to_string();
+        let ack = Frame::AnnounceAck(AnnounceAck {
+            from: Entry { name: "e1", incarnation: 1, address: &address },
+            sequence: announce.sequence,
+            revision,
+            interval_ms: 200,
+            entries: Vec::new(),
+        });
+        self.port.send_to(&seal_datagram(&key, &ack).unwrap(), from).unwrap();
+        (announce.closing, announce.revision)
+    }
+
+    /// Connects, and passes on the document when the sidecar asks for it.
+    fn connect_with_document(&self) -> Link {
+        self.announcement(0);
+        let mut link = self.connect(1);
+        self.announcement(3);
+        link.until(|frame| matches!(frame, Frame::Fetch("ruilbeurs")).then_some(()));
+        let text = serde_json::to_string(&envelope(3)).unwrap();
+        link.send(&Frame::Document(kingcup_wire::Document {
+            service: "ruilbeurs",
+            revision: 3,
+            text: &text,
+        }));
+        link
+    }
+
+    fn connect(&self, generation: u32) -> Link {
+        let mut link = Link::open(self.internal);
+        link.send(&Frame::Hello(Hello {
+            role: Role::Entry,
+            name: "e1",
+            incarnation: 1,
+            generation,
+            settled: 0,
+        }));
+        link
+    }
+
+    fn get(&self, path: &str) -> (u16, String) {
+        let agent = ureq::Agent::config_builder().http_status_as_error(false).build().new_agent();
+        let mut response = agent.get(format!("http://{}{path}", self.admin)).call().unwrap();
+        (response.status().as_u16(), response.body_mut().read_to_string().unwrap())
+    }
+
+    fn signal(&self) {
+        // SAFETY: sends a signal to the child that this test started.
+        unsafe { libc::kill(self.child.id() as i32, libc::SIGTERM) };
+    }
+}
+
+/// A connection of the entry.
+struct Link {
+    stream: TcpStream,
+    reader: Reader,
+    writer: Writer,
+    input: Vec<u8>,
+}
+
+impl Link {
+    fn open(address: SocketAddr) -> Self {
+        let end = Instant::now() + WAIT;
+        let stream = loop {
+            match TcpStream::connect(address) {
+                Ok(stream) => break stream,
+                Err(_) if Instant::now() < end => std::thread::sleep(Duration::from_millis(10)),
+                Err(error) => panic!("{error}"),
+            }
+        };
+        stream.set_read_timeout(Some(WAIT)).unwrap();
+        let key = Key::derive(SECRET);
+        Self {
+            stream,
+            reader: Reader::open(key.clone()),
+            writer: Writer::open(key),
+            input: Vec::new(),
+        }
+    }
+
+    fn send(&mut self, frame: &Frame<'_>) {
+        let mut out = Vec::new();
+        self.writer.push(frame, &mut out).unwrap();
+        self.stream.write_all(&out).unwrap();
+    }
+
+    fn start(&mut self, sequence: u64, body: &str) {
+        self.send(&Frame::Start(Start {
+            sequence,
+            settled: 0,
+            job: "e1-1-1-1",
+            task: sequence as u16,
+            kind: "stock",
+            headroom: 0,
+            more: false,
+            wait_ms: 10_000,
+            payload: body.as_bytes(),
+        }));
+    }
+
+    /// Reads frames until one is what is waited for; `None` if the connection ends first.
+    fn find<T>(&mut self, mut wanted: impl FnMut(&Frame<'_>) -> Option<T>) -> Option<T> {
+        loop {
+            while let Some((used, frame)) = self.reader.next(&self.input).unwrap() {
+                let found = wanted(&frame);
+                self.input.drain(..used);
+                if found.is_some() {
+                    return found;
+                }
+            }
+            let mut buffer = [0; 65536];
+            let len = self.stream.read(&mut buffer).expect("frame within the time limit");
+            if len == 0 {
+                return None;
+            }
+            self.input.extend_from_slice(&buffer[..len]);
+        }
+    }
+
+    fn until<T>(&mut self, wanted: impl FnMut(&Frame<'_>) -> Option<T>) -> T {
+        self.find(wanted).expect("frame before the end of the connection")
+    }
+
+    fn finish(&mut self, sequence: u64) -> (Outcome, Vec<u8>) {
+        self.until(|frame| match frame {
+            Frame::Finish(finish) if finish.sequence == sequence => {
+                Some((finish.outcome, finish.body.to_vec()))
+            }
+            _ => None,
+        })
+    }
+
+    fn refusal(&mut self, sequence: u64) -> Option<Code> {
+        self.until(|frame| match frame {
+            Frame::Refuse(refuse) if refuse.sequence == sequence => {
+                Some(Code::from_number(refuse.code))
+            }
+            _ => None,
+        })
+    }
+}
+
+fn envelope(revision: u64) -> Envelope {
+    let kind = Kind {
+        name: "stock".to_owned(),
+        urgency: Urgency::High,
+        share_percent: 50,
+        deadline_ms: 1000,
+        timeout_ms: 5000,
+        max_waiting: 100,
+        idempotent: false,
+    };
+    let document = Document {
+        service: "ruilbeurs".to_owned(),
+        team: "tapijtrest".to_owned(),
+        upstream_path: "/run".to_owned(),
+        quota_per_s: 0,
+        max_milli_cpus: 16_000,
+        max_memory_mb: 64_000,
+        kinds: vec![kind],
+    };
+    Envelope { revision, changes: Vec::new(), document }
+}
+
+/// Guards against a sidecar that starts work before it has a document, and against one that does
+/// not ask for a document that an entry reports.
+#[test]
+fn a_sidecar_fetches_the_document_and_then_runs_tasks() {
+    let stage = Stage::open();
+    assert_eq!(stage.announcement(0), (false, 0));
+    let mut link = stage.connect(1);
+    link.start(1, "{}");
+    assert_eq!(link.refusal(1), Some(Code::NoDocument));
+    assert_eq!(stage.get("/readyz").0, 503);
+    drop(link);
+    let stage = Stage::open();
+    let mut link = stage.connect_with_document();
+    link.start(1, r#"{"echo": "a"}"#);
+    let (outcome, body) = link.finish(1);
+    assert_eq!(outcome, Outcome::Done);
+    assert_eq!(body, br#"{"echo":"a","job":"e1-1-1-1","task":1}"#);
+    assert_eq!(stage.get("/readyz").0, 200);
+    assert_eq!(stage.get("/healthz").0, 200);
+    let (_, status) = stage.get("/status");
+    assert!(status.contains(r#""revision":3"#) && status.contains(r#""connected":true"#));
+    link.send(&Frame::Probe(77));
+    link.until(|frame| matches!(frame, Frame::ProbeAck(77)).then_some(()));
+}
+
+/// Guards against an unreachable upstream that makes a job "may have run".
+#[test]
+fn a_start_for_an_upstream_that_refuses_connections_is_not_run() {
+    let stage = Stage::open();
+    let mut link = stage.connect_with_document();
+    stage.upstream.control(&Control { refuse_ms: Some(60_000), ..Control::default() });
+    std::thread::sleep(Duration::from_millis(300));
+    link.start(1, "{}");
+    assert_eq!(link.refusal(1), Some(Code::NoUpstream));
+    assert!(stage.upstream.starts().is_empty());
+}
+
+/// Guards against answers that are lost with a connection, and against a late start frame of the
+/// older connection.
+#[test]
+fn answers_survive_a_new_connection() {
+    let stage = Stage::open();
+    let mut old = stage.connect_with_document();
+    old.start(1, r#"{"sleep_ms": 200}"#);
+    old.start(2, r#"{"sleep_ms": 2000}"#);
+    while stage.upstream.starts().len() < 2 {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let mut new = stage.connect(2);
+    assert!(old.find(|frame| matches!(frame, Frame::Load(_)).then_some(())).is_none());
+    std::thread::sleep(Duration::from_millis(300));
+    new.send(&Frame::Inquire(Inquire { sequences: vec![1, 2, 3] }));
+    assert_eq!(new.finish(1).0, Outcome::Done);
+    let held = new.until(|frame| match frame {
+        Frame::Fates(fates) => Some(fates.iter().map(|fate| fate.held).collect::<Vec<_>>()),
+        _ => None,
+    });
+    use kingcup_wire::Held::{Finished, Never, Running};
+    assert_eq!(held, [Finished, Running, Never]);
+    new.start(3, "{}");
+    assert_eq!(new.refusal(3), Some(Code::Fenced));
+    let mut late = stage.connect(1);
+    assert!(late.find(|_| Some(())).is_none(), "an older generation was greeted");
+}
+
+/// Guards against a recall that leaves queued work to run.
+#[test]
+fn a_recall_is_answered_and_its_queued_tasks_do_not_run() {
+    let stage = Stage::open();
+    let mut link = stage.connect_with_document();
+    for sequence in 1..=3 {
+        link.start(sequence, r#"{"sleep_ms": 300}"#);
+    }
+    link.send(&Frame::Recall(Recall { sequences: vec![1, 3], stop: true }));
+    assert_eq!(link.finish(1).0, Outcome::Unknown(Code::Stopped.number()));
+    let held = link.until(|frame| match frame {
+        Frame::Recalled(fates) => Some(fates.iter().map(|fate| fate.held).collect::<Vec<_>>()),
+        _ => None,
+    });
+    assert_eq!(held, [kingcup_wire::Held::Finished, kingcup_wire::Held::Never]);
+    assert_eq!(link.finish(2).0, Outcome::Done);
+    assert_eq!(stage.upstream.starts().len(), 2);
+}
+
+/// Guards against a planned stop that interrupts a running task, loses its answer, or starts what
+/// was queued.
+#[test]
+fn a_stop_completes_what_runs_and_gives_back_the_rest() {
+    let mut stage = Stage::open();
+    let mut link = stage.connect_with_document();
+    for sequence in 1..=3 {
+        link.start(sequence, r#"{"sleep_ms": 500}"#);
+    }
+    while stage.upstream.starts().len() < SLOTS {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    stage.signal();
+    // `Closing` comes first, so that the entry does not send the refused start here again.
+    link.until(|frame| matches!(frame, Frame::Closing).then_some(()));
+    assert_eq!(link.refusal(3), Some(Code::Closing));
+    link.start(4, "{}");
+    assert_eq!(link.refusal(4), Some(Code::Closing));
+    let mut finished = Vec::new();
+    while finished.len() < 2 {
+        finished.push(link.until(|frame| match frame {
+            Frame::Finish(finish) => Some((finish.sequence, finish.outcome)),
+            _ => None,
+        }));
+    }
+    finished.sort_by_key(|(sequence, _)| *sequence);
+    assert_eq!(finished, [(1, Outcome::Done), (2, Outcome::Done)]);
+    while !stage.announcement(3).0 {}
+    assert!(stage.child.wait().unwrap().success());
+    assert_eq!(stage.upstream.starts().len(), 2);
+}
