--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Measurements of the decision library under virtual time.
+
+pub mod gate;
