--- a/crates/dispatch/src/gate/fair.rs
+++ b/crates/dispatch/src/gate/fair.rs
@@ -24,6 +24,8 @@
 /// Share that a kind saves up while it waits for a slot, in microseconds. Calls are not interrupted,
 /// so a kind may wait for the end of several long ones before it gets a slot that it is owed.
 const QUEUED_SAVED_US: u64 = 2_000_000;
+/// Binary places of the rates at which charges advance.
+const SCALE_BITS: u32 = 16;
 /// Classes of urgency.
 const URGENCIES: usize = 4;
 
@@ -52,6 +54,10 @@
     cost_us: u64,
     due_us: u64,
     tag: u64,
+    /// Advance of `due_us` for each microsecond of run time, scaled by `SCALE_BITS`.
+    due_rate: u64,
+    /// Advance of `tag` for each microsecond of run time, scaled by `SCALE_BITS`.
+    tag_rate: u64,
     within: VecDeque<Waiting>,
     lent: VecDeque<Waiting>,
 }
@@ -68,6 +74,8 @@
             cost_us: FIRST_COST_US,
             due_us: 0,
             tag: 0,
+            due_rate: 0,
+            tag_rate: 0,
             within: VecDeque::new(),
             lent: VecDeque::new(),
         }
@@ -96,13 +104,25 @@
         !self.within.is_empty() || lent_ready
     }
 
-    /// Interval at which the share allows starts of this run time, in microseconds.
-    fn interval(&self, cost_us: u64, slots: u64) -> u64 {
-        cost_us * 100 / (self.share_percent * slots).max(1)
+    /// Takes what a document sets.
+    fn configure(&mut self, kind: &Kind, slots: u64) {
+        let share_percent = u64::from(kind.share_percent);
+        let whole = 100 << SCALE_BITS;
+        self.urgency = kind.urgency;
+        self.timeout_ms = kind.timeout_ms;
+        self.share_percent = share_percent;
+        self.whole_slots = share_percent * slots / 100;
+        self.due_rate = whole / (share_percent * slots).max(1);
+        self.tag_rate = whole / share_percent.max(1);
     }
 
-    fn tag_step(&self, cost_us: u64) -> u64 {
-        cost_us * 100 / self.share_percent.max(1)
+    /// Time for which the share pays for a run of this length, in microseconds.
+    fn due_step(&self, run_us: u64) -> u64 {
+        (run_us * self.due_rate) >> SCALE_BITS
+    }
+
+    fn tag_step(&self, run_us: u64) -> u64 {
+        (run_us * self.tag_rate) >> SCALE_BITS
     }
 }
 
@@ -116,8 +136,14 @@
     queued: usize,
     clocks: [u64; URGENCIES],
     next_expiry_us: u64,
+    /// Kinds of which something waits, one bit each; the rows are large, and most are idle.
+    waiting: u32,
+    /// Running tasks by kind, in the form of load reports.
+    counts: [u8; KINDS],
 }
 
+const _: () = assert!(KINDS <= u32::BITS as usize, "a kind has a bit in `Queue::waiting`");
+
 impl Queue {
     /// Starts empty, without kinds.
     pub fn open(slots: u16, limit: u16) -> Self {
@@ -129,6 +155,31 @@
             queued: 0,
             clocks: [0; URGENCIES],
             next_expiry_us: u64::MAX,
+            waiting: 0,
+            counts: [0; KINDS],
+        }
+    }
+
+    /// Derives what is kept beside the rows.
+    fn recount(&mut self) {
+        self.counts = [0; KINDS];
+        self.waiting = 0;
+        for kind in 0..self.rows.len() {
+            self.count(kind);
+            self.mark(kind);
+        }
+    }
+
+    fn count(&mut self, kind: usize) {
+        self.counts[kind] = u8::try_from(self.rows[kind].running).unwrap_or(u8::MAX);
+    }
+
+    fn mark(&mut self, kind: usize) {
+        let bit = 1 << kind;
+        if self.rows[kind].waiting() > 0 {
+            self.waiting |= bit;
+        } else {
+            self.waiting &= !bit;
         }
     }
 
@@ -145,14 +196,12 @@
                 moved[at] = Some(self.rows.len());
             }
             let mut row = kept.unwrap_or_else(|| Row::open(kind));
-            row.urgency = kind.urgency;
-            row.timeout_ms = kind.timeout_ms;
-            row.share_percent = u64::from(kind.share_percent);
-            row.whole_slots = row.share_percent * self.slots / 100;
+            row.configure(kind, self.slots);
             self.rows.push(row);
         }
         let names = self.rows.iter().enumerate().map(|(at, row)| (row.name.clone(), at));
         self.names = names.collect();
+        self.recount();
         let removed: Vec<Waiting> = old
             .into_iter()
             .flatten()
@@ -182,13 +231,9 @@
         self.queued
     }
 
-    /// Number of kinds, and running tasks of each.
+    /// Running tasks of each kind, and the number of kinds.
     pub fn running(&self) -> ([u8; KINDS], u8) {
-        let mut counts = [0; KINDS];
-        for (count, row) in counts.iter_mut().zip(&self.rows) {
-            *count = u8::try_from(row.running).unwrap_or(u8::MAX);
-        }
-        (counts, self.rows.len() as u8)
+        (self.counts, self.rows.len() as u8)
     }
 
     /// True if the queue takes another start of this kind. Every kind always has one place and its
@@ -217,6 +262,7 @@
         self.queued += 1;
         let lane = if waiting.headroom == 0 { &mut row.within } else { &mut row.lent };
         lane.push_back(waiting);
+        self.mark(kind);
     }
 
     /// Removes the start that goes next when `free` slots are free.
@@ -224,11 +270,12 @@
         if self.queued == 0 || free == 0 {
             return None;
         }
-        let ready = self.rows.iter().enumerate().filter(|(_, row)| row.is_ready(free));
+        let ready = bits(self.waiting).filter(|&kind| self.rows[kind].is_ready(free));
         let rank = |row: &Row| (!row.is_within_share(now_us), Reverse(row.urgency), row.tag);
-        let (kind, _) = ready.min_by_key(|(_, row)| rank(row))?;
+        let kind = ready.min_by_key(|&kind| rank(&self.rows[kind]))?;
         let waiting = self.rows[kind].ready(free)?.pop_front()?;
         self.queued -= 1;
+        self.mark(kind);
         Some((kind, waiting))
     }
 
@@ -243,7 +290,8 @@
             return Vec::new();
         }
         let expired = self.retain(|waiting| waiting.expires_us > now_us);
-        let lanes = self.rows.iter().flat_map(|row| row.within.iter().chain(&row.lent));
+        let rows = bits(self.waiting).map(|kind| &self.rows[kind]);
+        let lanes = rows.flat_map(|row| row.within.iter().chain(&row.lent));
         self.next_expiry_us = lanes.map(|waiting| waiting.expires_us).min().unwrap_or(u64::MAX);
         expired
     }
@@ -256,7 +304,8 @@
     /// Keeps the starts that fulfil a condition and gives the others.
     pub fn retain(&mut self, keep: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
         let mut removed = Vec::new();
-        for row in &mut self.rows {
+        for kind in bits(self.waiting) {
+            let row = &mut self.rows[kind];
             for lane in [&mut row.within, &mut row.lent] {
                 if lane.iter().all(&keep) {
                     continue;
@@ -265,6 +314,7 @@
                 *lane = kept;
                 removed.extend::<VecDeque<_>>(out);
             }
+            self.mark(kind);
         }
         self.queued -= removed.len();
         removed
@@ -272,27 +322,37 @@
 
     /// Charges a kind for a start. Gives the run time that it was charged for.
     pub fn charge(&mut self, kind: usize, now_us: u64) -> u64 {
-        let slots = self.slots;
         let row = &mut self.rows[kind];
         let clock = &mut self.clocks[row.urgency as usize];
         *clock = (*clock).max(row.tag);
         row.tag += row.tag_step(row.cost_us);
         let saved_us = now_us.saturating_sub(QUEUED_SAVED_US);
-        row.due_us = row.due_us.max(saved_us) + row.interval(row.cost_us, slots);
+        row.due_us = row.due_us.max(saved_us) + row.due_step(row.cost_us);
         row.running += 1;
-        row.cost_us
+        let charged_us = row.cost_us;
+        self.count(kind);
+        charged_us
     }
 
     /// Corrects the charge once the run time is known, and learns from it.
     pub fn settle(&mut self, kind: usize, charged_us: u64, run_us: u64) {
-        let slots = self.slots;
         let row = &mut self.rows[kind];
         let run_us = run_us.max(MIN_COST_US);
         let adjust = |value: u64, charged: u64, spent: u64| (value + spent).saturating_sub(charged);
-        let (charged, spent) = (row.interval(charged_us, slots), row.interval(run_us, slots));
+        let (charged, spent) = (row.due_step(charged_us), row.due_step(run_us));
         row.due_us = adjust(row.due_us, charged, spent);
         row.tag = adjust(row.tag, row.tag_step(charged_us), row.tag_step(run_us));
         row.cost_us = (row.cost_us * (LEARNING - 1) + run_us) / LEARNING;
         row.running -= 1;
+        self.count(kind);
     }
 }
+
+/// Positions of the bits that are set, ascending.
+fn bits(mut mask: u32) -> impl Iterator<Item = usize> {
+    std::iter::from_fn(move || {
+        let at = mask.trailing_zeros();
+        mask &= mask.checked_sub(1)?;
+        Some(at as usize)
+    })
+}
