Add the ledger that makes a submission run at most once

A home keeps a window of 1,024 sequences for each client and bounded records of answers. Records pass to a successor in parts; the final part names one incarnation of one entry, so that a restarted successor cannot adopt an old copy. Found by the property test: a copy of the final part that reached a second entry made that one start an adopted job again.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,3 +6,5 @@
 pub mod code;
 pub mod document;
 pub mod id;
+pub mod key;
+pub mod rendezvous;
--- /dev/null
+++ b/crates/dispatch/tests/key.rs
@@ -0,0 +1,416 @@
+//! Guards against a submission running twice, and against untruthful refusals.
+
+use std::collections::{HashMap, HashSet};
+
+use kingcup_dispatch::{
+    code::{Code, Fate},
+    id::{Home, Job},
+    key::{
+        Digest, Fault, Imported, Keyed, Ledger, Limits, Owners, Part, Record, Successor, Verdict,
+    },
+};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const SECOND: u64 = 1_000_000;
+const ENTRIES: [&str; 3] = ["a", "b", "c"];
+
+fn owners() -> Owners {
+    Owners::new(ENTRIES.map(str::to_owned))
+}
+
+fn ledger(entry: &str, incarnation: u64) -> Ledger {
+    Ledger::new(entry, incarnation, owners(), Limits::default(), 0)
+}
+
+fn job(home: &Home, sequence: u64) -> Job {
+    Job { home: home.clone(), sequence }
+}
+
+fn record(code: Code, bytes: usize) -> Record {
+    Record { code, body: vec![7; bytes].into() }
+}
+
+fn keyed(key: &str, first: bool) -> Keyed<'_> {
+    Keyed { key, first, peers: owners().digest() }
+}
+
+fn successor(entry: &str, incarnation: u64) -> Successor<'_> {
+    Successor { entry, incarnation }
+}
+
+/// Keys that an entry owns.
+fn keys_of(entry: &str) -> impl Iterator<Item = String> + '_ {
+    let owned = move |key: &String| owners().owner(key) == Some(entry);
+    (0..).map(|number| format!("key{number}")).filter(owned)
+}
+
+fn key_of(entry: &str) -> String {
+    keys_of(entry).next().unwrap()
+}
+
+/// Passes everything to a successor, through the encoding used on the wire.
+fn hand_over(
+    from: &mut Ledger,
+    (to, name): (&mut Ledger, &str),
+    max: usize,
+    now: u64,
+) -> Result<Imported, Fault> {
+    let mut parts = from.export(max, now);
+    parts.extend(from.seal(successor(name, 1), parts.len() as u32, now));
+    let mut last = Ok(Imported::Stored);
+    for part in parts {
+        let bytes = postcard::to_allocvec(&part).unwrap();
+        assert!(bytes.len() <= max, "part of {} bytes", bytes.len());
+        last = to.import(postcard::from_bytes(&bytes).unwrap(), now);
+    }
+    last
+}
+
+/// Guards against a repetition starting again at any point of a job's life.
+#[test]
+fn a_repetition_attaches_then_returns_the_answer_until_it_expires() {
+    let mut ledger = ledger("a", 1);
+    let job = job(&ledger.token(0), 5);
+    assert_eq!(ledger.submit(&job, Digest(1), 0), Verdict::Fresh);
+    assert_eq!(ledger.submit(&job, Digest(1), 1), Verdict::Running);
+    assert_eq!(ledger.submit(&job, Digest(2), 1), Verdict::Refused(Code::BadRequest));
+    let answer = record(Code::Complete, 10);
+    assert!(ledger.finish(&job, answer.clone(), 2));
+    assert!(!ledger.finish(&job, answer.clone(), 2));
+    assert_eq!(ledger.submit(&job, Digest(1), 599 * SECOND), Verdict::Finished(answer));
+    assert_eq!(ledger.submit(&job, Digest(1), 601 * SECOND), Verdict::Refused(Code::AnswerExpired));
+}
+
+/// Guards against "not run" for an ID that may have run, and against `Fresh` for an unknown one.
+#[rstest]
+#[case::evicted(Limits { clients: 1, ..Limits::default() }, 1, 9, Code::RecordExpired)]
+#[case::never_issued(Limits::default(), 3, 9, Code::UnknownJob)]
+#[case::zero(Limits::default(), 0, 9, Code::UnknownJob)]
+#[case::below_the_window(Limits::default(), 2, 2_000 - 1_024, Code::RecordExpired)]
+#[case::no_room_to_run(Limits { running: 1, ..Limits::default() }, 2, 9_999, Code::Overloaded)]
+fn refusals_name_the_reason(
+    #[case] limits: Limits,
+    #[case] client: u64,
+    #[case] sequence: u64,
+    #[case] code: Code,
+) {
+    let mut ledger = Ledger::new("a", 1, owners(), limits, 0);
+    ledger.token(0);
+    let home = ledger.token(0);
+    assert_eq!(ledger.submit(&job(&home, 2_000), Digest(1), 0), Verdict::Fresh);
+    let job = job(&Home { client, ..home }, sequence);
+    assert_eq!(ledger.submit(&job, Digest(1), 0), Verdict::Refused(code));
+}
+
+/// Guards against the bound on answers being exceeded, or a job being forgotten with its answer.
+#[test]
+fn oldest_answers_go_first_and_their_jobs_stay_known() {
+    let limits = Limits { answer_bytes: 10_000, ..Limits::default() };
+    let mut ledger = Ledger::new("a", 1, owners(), limits, 0);
+    let home = ledger.token(0);
+    for sequence in 0..10 {
+        ledger.submit(&job(&home, sequence), Digest(1), sequence);
+        ledger.finish(&job(&home, sequence), record(Code::Complete, 3_000), sequence);
+        assert!(ledger.answer_bytes() <= 10_000);
+    }
+    let gone = Verdict::Refused(Code::AnswerExpired);
+    assert_eq!(ledger.submit(&job(&home, 0), Digest(1), 20), gone);
+    assert!(matches!(ledger.submit(&job(&home, 9), Digest(1), 20), Verdict::Finished(_)));
+}
+
+/// Guards against a young owner starting a key that its predecessor ran, and against another list.
+#[test]
+fn a_young_owner_starts_only_marked_first_attempts() {
+    let keys: Vec<String> = keys_of("a").take(3).collect();
+    let (key, other) = (&keys[0], key_of("b"));
+    let mut ledger = ledger("a", 1);
+    let young = Verdict::Refused(Code::RecordExpired);
+    assert_eq!(ledger.submit_key(keyed(key, false), Digest(1), SECOND), young);
+    assert_eq!(ledger.submit_key(keyed(key, true), Digest(1), SECOND), Verdict::Fresh);
+    assert_eq!(ledger.submit_key(keyed(key, false), Digest(1), SECOND), Verdict::Running);
+    let foreign = Verdict::Refused(Code::HomeUnreachable);
+    assert_eq!(ledger.submit_key(keyed(&other, true), Digest(1), SECOND), foreign);
+    let verdict = ledger.submit_key(keyed(&keys[1], false), Digest(1), 601 * SECOND);
+    assert_eq!(verdict, Verdict::Fresh);
+    let differs = Keyed { peers: 0, ..keyed("new", false) };
+    let refused = Verdict::Refused(Code::PeersDiffer);
+    assert_eq!(ledger.submit_key(differs, Digest(1), 700 * SECOND), refused);
+    let later = Digest(1);
+    assert_eq!(ledger.submit_key(keyed(&keys[2], false), later, 701 * SECOND), young);
+    ledger.replaced();
+    assert_eq!(ledger.submit_key(keyed(&keys[2], true), later, 2_000 * SECOND), young);
+}
+
+/// Guards against a key that ran being forgotten with its answer, before its retention ends.
+#[test]
+fn keys_outlive_their_answers_and_are_bounded() {
+    let limits = Limits { answer_bytes: 100, keys: 1, ..Limits::default() };
+    let mut ledger = Ledger::new("a", 1, Owners::new(["a".to_owned()]), limits, 0);
+    let peers = ledger.owners().digest();
+    let submit = |ledger: &mut Ledger, key, now| {
+        ledger.submit_key(Keyed { key, first: true, peers }, Digest(1), now)
+    };
+    assert_eq!(submit(&mut ledger, "k", 0), Verdict::Fresh);
+    ledger.finish_key("k", record(Code::Complete, 1_000), 0);
+    assert_eq!(submit(&mut ledger, "k", SECOND), Verdict::Refused(Code::AnswerExpired));
+    assert_eq!(submit(&mut ledger, "l", SECOND), Verdict::Refused(Code::Overloaded));
+    assert_eq!(submit(&mut ledger, "l", 600 * SECOND), Verdict::Fresh);
+}
+
+/// Guards against two owners of an ID during a handover, and against lost or damaged answers.
+#[test]
+fn a_successor_owns_the_ids_after_the_final_part() {
+    let (mut a, mut b) = (ledger("a", 1), ledger("b", 1));
+    let home = a.token(0);
+    for sequence in 0..40 {
+        a.submit(&job(&home, sequence), Digest(1), 0);
+        a.finish(&job(&home, sequence), record(Code::Complete, 500), 0);
+    }
+    a.submit(&job(&home, 50), Digest(1), 0);
+    let parts = a.export(2_000, SECOND);
+    let closing = Verdict::Refused(Code::Closing);
+    assert_eq!(a.submit(&job(&home, 60), Digest(1), SECOND), closing);
+    let last = a.seal(successor("b", 1), parts.len() as u32, SECOND).unwrap();
+    assert_eq!(a.seal(successor("b", 1), parts.len() as u32, SECOND), None);
+    assert_eq!(b.import(last.clone(), SECOND), Err(Fault::Incomplete));
+    for part in parts.iter().chain(&parts).rev() {
+        assert_eq!(b.import(part.clone(), SECOND), Ok(Imported::Stored));
+        let lost = Verdict::Refused(Code::HomeLost);
+        assert_eq!(b.submit(&job(&home, 0), Digest(1), SECOND), lost);
+    }
+    for _ in 0..2 {
+        assert_eq!(b.import(last.clone(), SECOND), Ok(Imported::Adopted));
+    }
+    let answer = Verdict::Finished(record(Code::Complete, 500));
+    assert_eq!(b.submit(&job(&home, 39), Digest(1), SECOND), answer);
+    let unknown = Verdict::Refused(Code::RecordExpired);
+    assert_eq!(b.submit(&job(&home, 50), Digest(1), SECOND), unknown);
+    assert_eq!(b.submit(&job(&home, 60), Digest(1), SECOND), Verdict::Fresh);
+    let lost = Verdict::Refused(Code::HomeLost);
+    assert_eq!(a.submit(&job(&home, 60), Digest(1), SECOND), lost);
+    let never = Home { client: 99, ..home };
+    assert_eq!(b.submit(&job(&never, 0), Digest(1), 0), Verdict::Refused(Code::UnknownJob));
+}
+
+/// Guards against a copy of the final part making a second owner: another entry, or the successor
+/// itself after a restart, when jobs it has started since are forgotten.
+#[rstest]
+#[case::another_entry("c", 1)]
+#[case::the_restarted_successor("b", 2)]
+fn only_the_named_successor_adopts(#[case] entry: &str, #[case] incarnation: u64) {
+    let (mut a, mut b) = (ledger("a", 1), ledger("b", 1));
+    let job = job(&a.token(0), 1);
+    let mut parts = a.export(1_000, 0);
+    parts.extend(a.seal(successor("b", 1), parts.len() as u32, 0));
+    assert!(parts.iter().all(|part| b.import(part.clone(), 0).is_ok()));
+    assert_eq!(b.submit(&job, Digest(1), 0), Verdict::Fresh);
+    let mut other = ledger(entry, incarnation);
+    let last = parts.iter().map(|part| other.import(part.clone(), 0)).last().unwrap();
+    assert_eq!(last, Err(Fault::Misdirected));
+    assert_eq!(other.submit(&job, Digest(1), 0), Verdict::Refused(Code::HomeLost));
+}
+
+/// Guards against parts that exceed the size of a frame, and against losing keys in a handover.
+#[test]
+fn parts_keep_to_their_size_and_carry_keys() {
+    let (mut a, mut b, mut c) = (ledger("a", 1), ledger("b", 1), ledger("c", 1));
+    let key = key_of("a");
+    assert_eq!(a.submit_key(keyed(&key, true), Digest(u128::MAX), 0), Verdict::Fresh);
+    assert!(a.finish_key(&key, record(Code::Complete, 100), 0));
+    for _ in 0..50 {
+        let home = a.token(0);
+        for sequence in (u64::MAX - 1_000..=u64::MAX).step_by(50) {
+            a.submit(&job(&home, sequence), Digest(u128::MAX), 0);
+            let body = (sequence % 1_000) as usize;
+            a.finish(&job(&home, sequence), record(Code::TaskFailed, body), SECOND);
+        }
+    }
+    assert_eq!(hand_over(&mut a, (&mut b, "b"), 900, SECOND), Ok(Imported::Adopted));
+    assert_eq!(hand_over(&mut b, (&mut c, "c"), 900, 2 * SECOND), Ok(Imported::Adopted));
+    let answer = Verdict::Finished(record(Code::Complete, 100));
+    assert_eq!(c.submit_key(keyed(&key, false), Digest(u128::MAX), SECOND), answer);
+    let mut adopted: Vec<_> = c.adopted().collect();
+    adopted.sort_unstable();
+    assert_eq!(adopted, [("a", 1), ("b", 1)]);
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Token { entry: usize },
+    Submit { to: usize, id: usize, key: bool },
+    Finish { at: usize, id: usize, code: Code },
+    Crash { entry: usize },
+    Send { from: usize, to: usize, rounds: u8, last: bool },
+    Wait { seconds: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let entry = 0..ENTRIES.len();
+    let code = prop::sample::select(vec![Code::Complete, Code::UpstreamLost, Code::Overloaded]);
+    prop_oneof![
+        2 => entry.clone().prop_map(|entry| Step::Token { entry }),
+        9 => (entry.clone(), 0usize..64, any::<bool>())
+            .prop_map(|(to, id, key)| Step::Submit { to, id, key }),
+        5 => (entry.clone(), 0usize..64, code)
+            .prop_map(|(at, id, code)| Step::Finish { at, id, code }),
+        1 => entry.clone().prop_map(|entry| Step::Crash { entry }),
+        2 => (entry.clone(), entry, 1u8..3, any::<bool>())
+            .prop_map(|(from, to, rounds, last)| Step::Send { from, to, rounds, last }),
+        2 => (0u64..400).prop_map(|seconds| Step::Wait { seconds }),
+    ]
+}
+
+/// Three entries that crash, restart and hand over, with the starts that they answered `Fresh`.
+struct World {
+    ledgers: Vec<Ledger>,
+    incarnations: Vec<u64>,
+    incarnation: u64,
+    homes: Vec<Home>,
+    lost: HashSet<(String, u64)>,
+    kept: Vec<HashSet<(String, u64)>>,
+    started: HashSet<Job>,
+    attempted: HashSet<String>,
+    /// Entry that started a key, and when that run ended; `None` while it runs.
+    keys: HashMap<String, (usize, Option<u64>)>,
+    replays: Vec<Part>,
+    now: u64,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut world = Self {
+            ledgers: Vec::new(),
+            incarnations: Vec::new(),
+            incarnation: 0,
+            homes: Vec::new(),
+            lost: HashSet::new(),
+            kept: Vec::new(),
+            started: HashSet::new(),
+            attempted: HashSet::new(),
+            keys: HashMap::new(),
+            replays: Vec::new(),
+            now: 0,
+        };
+        for entry in ENTRIES {
+            let (ledger, kept) = world.start(entry);
+            world.ledgers.push(ledger);
+            world.kept.push(kept);
+            world.incarnations.push(world.incarnation);
+        }
+        world
+    }
+
+    fn start(&mut self, entry: &str) -> (Ledger, HashSet<(String, u64)>) {
+        self.incarnation += 1;
+        let limits = Limits { clients: 3, answer_bytes: 700, ..Limits::default() };
+        let ledger = Ledger::new(entry, self.incarnation, owners(), limits, self.now);
+        (ledger, HashSet::from([(entry.to_owned(), self.incarnation)]))
+    }
+
+    fn job(&self, id: usize) -> Option<Job> {
+        let home = self.homes.get(id / 4 % self.homes.len().max(1))?;
+        Some(job(home, [0, 1, 1_500, 900][id % 4]))
+    }
+
+    fn apply(&mut self, step: &Step) {
+        match *step {
+            Step::Token { entry } => self.homes.push(self.ledgers[entry].token(self.now)),
+            Step::Submit { to, id, key: true } => self.submit_key(to, id),
+            Step::Submit { to, id, key: false } => self.submit(to, id),
+            Step::Finish { at, id, code } => self.finish(at, id, code),
+            Step::Crash { entry } => self.crash(entry),
+            Step::Send { from, to, rounds, last } => self.send(from, to, rounds, last),
+            Step::Wait { seconds } => self.now += seconds * SECOND,
+        }
+    }
+
+    fn submit(&mut self, to: usize, id: usize) {
+        let Some(job) = self.job(id) else { return };
+        if self.ledgers[to].submit(&job, Digest(1), self.now) == Verdict::Fresh {
+            let home = (job.home.entry.clone(), job.home.incarnation);
+            assert!(!self.lost.contains(&home), "fresh for a lost incarnation: {job}");
+            assert!(self.started.insert(job.clone()), "fresh twice: {job}");
+        }
+    }
+
+    fn submit_key(&mut self, to: usize, id: usize) {
+        let key = format!("k{}", id % 8);
+        let first = self.attempted.insert(key.clone());
+        if self.ledgers[to].submit_key(keyed(&key, first), Digest(1), self.now) == Verdict::Fresh {
+            if let Some((_, end)) = self.keys.insert(key.clone(), (to, None)) {
+                let end = end.expect("fresh while running");
+                assert!(end + 600 * SECOND <= self.now, "fresh twice: {key}");
+            }
+        }
+    }
+
+    fn finish(&mut self, at: usize, id: usize, code: Code) {
+        let not_run = code.fate() == Fate::NotRun;
+        if let Some(job) = self.job(id) {
+            if self.ledgers[at].finish(&job, record(code, 100), self.now) && not_run {
+                self.started.remove(&job);
+            }
+        }
+        let key = format!("k{}", id % 8);
+        if self.ledgers[at].finish_key(&key, record(code, 100), self.now) {
+            let end = (!not_run).then_some(self.now);
+            match end {
+                Some(_) => drop(self.keys.insert(key, (at, end))),
+                None => drop(self.keys.remove(&key)),
+            }
+        }
+    }
+
+    fn crash(&mut self, entry: usize) {
+        self.now += 1;
+        let (ledger, kept) = self.start(ENTRIES[entry]);
+        self.ledgers[entry] = ledger;
+        self.incarnations[entry] = self.incarnation;
+        self.lost.extend(std::mem::replace(&mut self.kept[entry], kept));
+        for (at, end) in self.keys.values_mut() {
+            if *at == entry {
+                end.get_or_insert(self.now);
+            }
+        }
+    }
+
+    /// Hands over, with parts from an earlier handover repeated; the sender stays until it crashes.
+    fn send(&mut self, from: usize, to: usize, rounds: u8, last: bool) {
+        if from == to {
+            return;
+        }
+        let mut parts = Vec::new();
+        for _ in 0..rounds {
+            parts = self.ledgers[from].export(1_000, self.now);
+        }
+        if last {
+            let successor = successor(ENTRIES[to], self.incarnations[to]);
+            parts.extend(self.ledgers[from].seal(successor, parts.len() as u32, self.now));
+        }
+        let replays = std::mem::replace(&mut self.replays, parts.clone());
+        for part in replays.into_iter().chain(parts) {
+            let sealed = part.last.is_some();
+            let fresh = part.entry == ENTRIES[from];
+            let adopted = self.ledgers[to].import(part, self.now) == Ok(Imported::Adopted);
+            if sealed && fresh && adopted {
+                let moved = std::mem::take(&mut self.kept[from]);
+                self.kept[to].extend(moved);
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    /// Guards against a second start of a job or key under any order of submissions, evictions,
+    /// crashes and handovers, and against a start for an incarnation that died with its records.
+    #[test]
+    fn nothing_starts_twice(steps in prop::collection::vec(step(), 1..120)) {
+        let mut world = World::new();
+        for step in steps {
+            world.apply(&step);
+        }
+    }
+}
