Add ejection, probing and gradual return of upstreams

During a run of failures the number of outstanding tasks shrinks, so that an upstream that fails every task has failed at most 20 when four distinct jobs have failed there.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod code;
 pub mod document;
+pub mod health;
 pub mod id;
 pub mod key;
 pub mod member;
--- /dev/null
+++ b/crates/dispatch/tests/health.rs
@@ -0,0 +1,183 @@
+//! Guards against bad upstreams that keep getting work, and good ones that lose it.
+
+use std::collections::BTreeSet;
+
+use kingcup_dispatch::health::{Change, Health, State, FAILED_TASKS, PROBE_US};
+use proptest::prelude::*;
+use rstest::rstest;
+
+const SLOTS: u16 = 8;
+
+fn fleet(count: u32) -> Health<u32> {
+    let mut health = Health::new(0);
+    (0..count).for_each(|upstream| health.add(upstream));
+    health
+}
+
+/// Ends a task at every upstream but the first ones, with this failure ratio.
+fn background(
+    health: &mut Health<u32>,
+    first: u32,
+    count: u32,
+    ratio: f64,
+    rng: &mut fastrand::Rng,
+) {
+    for upstream in first..count {
+        let job = rng.u64(..);
+        if rng.f64() < ratio {
+            health.failed(upstream, job, 0);
+        } else {
+            health.succeeded(upstream, job, SLOTS, 0);
+        }
+    }
+}
+
+proptest! {
+    /// Guards against more than 20 failed tasks at an upstream that fails every task, and against
+    /// ejection for fewer than four jobs, in whatever order tasks of jobs of any size start and end.
+    #[test]
+    fn a_bad_upstream_fails_at_most_twenty_tasks(
+        seed in any::<u64>(),
+        tasks in 1u32..110,
+        before in 0u32..200,
+    ) {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut health = fleet(10);
+        (0..before).for_each(|_| background(&mut health, 0, 10, 0.0, &mut rng));
+        let (mut outstanding, mut failed) = (Vec::new(), 0);
+        let (mut job, mut left, mut failed_jobs) = (0u64, tasks, BTreeSet::new());
+        while !matches!(health.state(0), Some(State::Ejected { .. })) {
+            background(&mut health, 1, 10, 0.02, &mut rng);
+            if left == 0 || failed_jobs.contains(&job) {
+                (job, left) = (job + 1, rng.u32(1..=tasks));
+            }
+            if outstanding.len() < usize::from(health.allowance(0, SLOTS, 0)) {
+                outstanding.push(job);
+                left -= 1;
+            }
+            if !outstanding.is_empty() && rng.bool() {
+                let job = outstanding.swap_remove(rng.usize(..outstanding.len()));
+                health.failed(0, job, 0);
+                failed_jobs.insert(job);
+                failed += 1;
+            }
+        }
+        prop_assert!(failed + outstanding.len() as u32 <= FAILED_TASKS, "{failed} failed");
+        prop_assert!(failed_jobs.len() >= 4);
+        prop_assert_eq!(health.ejected(), 1);
+    }
+
+    /// Guards against ejection of good upstreams when all fail alike, because the work is at fault.
+    #[test]
+    fn a_fleet_that_fails_alike_keeps_its_upstreams(seed in any::<u64>(), percent in 0u32..95) {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut health = fleet(10);
+        for round in 0..3_000u64 {
+            background(&mut health, 0, 10, f64::from(percent) / 100.0, &mut rng);
+            health.tick(round * 20_000);
+        }
+        prop_assert_eq!(health.ejected(), 0);
+    }
+
+    /// Guards against ejecting more than 30% of the fleet, however many upstreams are bad.
+    #[test]
+    fn at_most_thirty_percent_are_ejected(count in 1u32..40, bad in 0u32..40, seed in any::<u64>()) {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut health = fleet(count);
+        let bad = bad.min(count);
+        for round in 0..200 {
+            for upstream in 0..bad {
+                health.failed(upstream, rng.u64(..), round);
+            }
+            background(&mut health, bad, count, 0.0, &mut rng);
+            prop_assert!(health.ejected() * 100 <= count as usize * 30);
+        }
+        let expected = (count as usize * 30 / 100).min(bad as usize);
+        if bad * 2 < count {
+            prop_assert_eq!(health.ejected(), expected);
+        }
+    }
+}
+
+/// Guards against ejection for a job that fails wherever it runs.
+#[rstest]
+#[case::alone(0)]
+#[case::among_good_work(3)]
+fn a_job_that_fails_everywhere_ejects_nobody(#[case] good: u32) {
+    let mut rng = fastrand::Rng::with_seed(1);
+    let mut health = fleet(10);
+    for job in 0..50 {
+        for task in 0..80 {
+            health.failed(task % 10, job, 0);
+        }
+        (0..good).for_each(|_| background(&mut health, 0, 10, 0.0, &mut rng));
+    }
+    assert_eq!(health.ejected(), 0);
+}
+
+/// Guards against three bad upstreams of a rack being excused by the jobs that they all fail.
+#[test]
+fn a_bad_rack_is_not_taken_for_a_bad_job() {
+    let mut health = fleet(10);
+    for job in 0..40 {
+        for upstream in (0..10).rev() {
+            match upstream {
+                0..3 => health.failed(upstream, job, 0),
+                _ => health.succeeded(upstream, job, SLOTS, 0),
+            };
+        }
+    }
+    assert_eq!(health.ejected(), 3);
+}
+
+/// Guards against an upstream that fails half its tasks, so that no run of failures ejects it.
+#[test]
+fn an_upstream_that_fails_half_its_tasks_is_ejected() {
+    let mut rng = fastrand::Rng::with_seed(2);
+    let mut health = fleet(10);
+    for job in 0..200u64 {
+        match job % 2 {
+            0 => health.failed(0, job, 0),
+            _ => health.succeeded(0, job, SLOTS, 0),
+        };
+        background(&mut health, 1, 10, 0.02, &mut rng);
+    }
+    assert!(matches!(health.state(0), Some(State::Ejected { .. })));
+}
+
+/// Guards against more than one probe in 5 s, and against a return with all slots at once.
+#[test]
+fn an_ejected_upstream_is_probed_and_returns_gradually() {
+    let mut health = fleet(10);
+    let mut job = 0..;
+    while health.ejected() == 0 {
+        health.failed(0, job.next().unwrap(), 0);
+    }
+    assert_eq!(health.allowance(0, SLOTS, PROBE_US - 1), 0);
+    assert_eq!(health.allowance(0, SLOTS, PROBE_US), 1);
+    assert_eq!(health.failed(0, job.next().unwrap(), PROBE_US), None);
+    assert_eq!(health.allowance(0, SLOTS, 2 * PROBE_US - 1), 0);
+    assert_eq!(health.succeeded(0, 900, SLOTS, 2 * PROBE_US), Some(Change::Returning));
+    let mut levels = vec![health.allowance(0, SLOTS, 2 * PROBE_US)];
+    for job in 901.. {
+        let change = health.succeeded(0, job, SLOTS, 0);
+        levels.push(health.allowance(0, SLOTS, 2 * PROBE_US));
+        if change == Some(Change::Readmitted) {
+            break;
+        }
+    }
+    assert_eq!(levels, [1, 2, 3, 4, 5, 6, 7, 8]);
+}
+
+/// Guards against a return that goes on although the upstream fails again.
+#[test]
+fn a_failure_on_return_ejects_again() {
+    let mut health = fleet(10);
+    for job in 0..20 {
+        health.failed(0, job, 0);
+    }
+    health.succeeded(0, 100, SLOTS, PROBE_US);
+    assert_eq!(health.failed(0, 101, 0), Some(Change::Ejected));
+    assert_eq!(health.restarted(0), Some(Change::Returning));
+    assert_eq!((health.ejected(), health.allowance(0, SLOTS, 0)), (0, 1));
+}
