--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,3 +10,4 @@
 pub mod key;
 pub mod member;
 pub mod rendezvous;
+pub mod retry;
