--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod id;
 pub mod key;
 pub mod member;
+pub mod quota;
 pub mod rendezvous;
 pub mod retry;
