--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,4 +11,6 @@
 pub mod fair;
 pub mod id;
 pub mod job;
+pub mod key;
+pub mod rendezvous;
 pub mod route;
