--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod code;
+pub mod config;
 pub mod document;
 pub mod engine;
 pub mod estimate;
