--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod engine;
 pub mod estimate;
 pub mod fair;
+pub mod gate;
 pub mod id;
 pub mod job;
 pub mod key;
