--- a/crates/dispatch/src/code.rs
+++ b/crates/dispatch/src/code.rs
@@ -137,6 +137,8 @@
     NotInEffect = 404, MayHaveRun, 409;
     /// settings are not valid
     SettingsInvalid = 405, NotRun, 400;
+    /// process cannot be reached or did not answer
+    ProcessSilent = 406, MayHaveRun, 504;
 }
 
 impl Code {
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -4,7 +4,7 @@
 mod gateway;
 mod watch;
 
-pub use client::{Client, Limits};
+pub use client::{is_unsent, Client, Limits};
 pub use watch::Watch;
 
 use displaydoc::Display;
--- a/crates/node/src/store/client.rs
+++ b/crates/node/src/store/client.rs
@@ -51,10 +51,9 @@
     error.to_string().replace(['\n', '\r'], " ")
 }
 
-/// Sorts an error by whether the request can have reached the store.
-fn sort(error: &ureq::Error) -> Fault {
+/// True if the request that failed in this way cannot have reached the other side.
+pub fn is_unsent(error: &ureq::Error) -> bool {
     use ureq::Error;
-    let reason = shown(error);
     match error {
         Error::HostNotFound
         | Error::BadUri(_)
@@ -62,11 +61,16 @@
         | Error::ConnectionFailed
         | Error::RequireHttpsOnly(_)
         | Error::TlsRequired
-        | Error::Timeout(Timeout::Resolve | Timeout::Connect) => Fault::Unavailable(reason),
-        Error::Io(io) if io.kind() == io::ErrorKind::ConnectionRefused => {
-            Fault::Unavailable(reason)
-        }
-        _ => Fault::Unanswered(reason),
+        | Error::Timeout(Timeout::Resolve | Timeout::Connect) => true,
+        Error::Io(io) => io.kind() == io::ErrorKind::ConnectionRefused,
+        _ => false,
+    }
+}
+
+fn sort(error: &ureq::Error) -> Fault {
+    match is_unsent(error) {
+        true => Fault::Unavailable(shown(error)),
+        false => Fault::Unanswered(shown(error)),
     }
 }
 
--- /dev/null
+++ b/crates/tools/src/ctl.rs
@@ -0,0 +1,54 @@
+//! `kingcupctl`: documents of services, state of processes, submission of jobs.
+//!
+//! `docs/cli.md` describes the commands and exit codes.
+
+mod apply;
+mod args;
+mod diff;
+mod document;
+mod http;
+mod report;
+mod settings;
+mod status;
+mod submit;
+
+use args::{Arguments, Command};
+use report::Report;
+use settings::Settings;
+
+/// Exit code for a command line that is not valid.
+const USAGE: u8 = 64;
+
+/// Runs a command, prints its report and gives the exit code.
+pub fn run(arguments: &[String]) -> u8 {
+    let arguments = match args::parse(arguments) {
+        Ok(arguments) => arguments,
+        Err(args::Stop::Help(text)) => {
+            print!("{text}");
+            return 0;
+        }
+        Err(args::Stop::Usage(reason)) => {
+            eprintln!("kingcupctl: {reason}; see kingcupctl --help");
+            return USAGE;
+        }
+    };
+    let settings = Settings::load(&arguments);
+    let report = settings.and_then(|settings| execute(&arguments, &settings));
+    let report = report.unwrap_or_else(|report| report);
+    report.print(arguments.json);
+    report.exit_code()
+}
+
+/// A command that cannot go on gives its report as an error.
+fn execute(arguments: &Arguments, settings: &Settings) -> Result<Report, Report> {
+    match &arguments.command {
+        Command::Check { file } => document::check(file),
+        Command::Apply { file } => apply::apply(arguments, settings, file),
+        Command::Show { service } => document::show(settings, service),
+        Command::Diff { service, file } => document::diff(settings, service, file),
+        Command::History { service } => document::history(settings, service),
+        Command::Status { service } => status::status(settings, service),
+        Command::Drain { address } => status::drain(settings, address),
+        Command::Submit { file } => submit::submit(arguments, settings, file),
+    }
+}
--- /dev/null
+++ b/crates/tools/src/ctl/args.rs
@@ -0,0 +1,130 @@
+//! Command-line arguments.
+
+use getopts::{Matches, Options};
+
+const BRIEF: &str = "\
+Usage: kingcupctl [options] COMMAND
+
+Commands:
+    check FILE            check a service's document
+    apply FILE            write a service's document
+    show SERVICE          show the stored document
+    diff SERVICE FILE     compare the stored document with a file
+    history SERVICE       list the newest accepted changes
+    status SERVICE        tell whether the stored revision is in force everywhere
+    drain ADDRESS         ask a process to take no new work
+    submit FILE           submit a job and wait for its response
+
+A FILE of - is standard input.";
+
+/// What to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Command {
+    Check { file: String },
+    Apply { file: String },
+    Show { service: String },
+    Diff { service: String, file: String },
+    History { service: String },
+    Status { service: String },
+    Drain { address: String },
+    Submit { file: String },
+}
+
+/// The parsed command line.
+#[derive(Debug)]
+pub(super) struct Arguments {
+    pub command: Command,
+    pub json: bool,
+    pub wait: bool,
+    pub change_id: Option<String>,
+    pub base: Option<u64>,
+    pub job_id: Option<String>,
+    pub settings: Option<String>,
+    pub store: Option<String>,
+    pub processes: Option<String>,
+    pub entries: Option<String>,
+    pub author: Option<String>,
+    pub timeout_s: Option<u64>,
+}
+
+/// Why there is no command to run.
+#[derive(Debug)]
+pub(super) enum Stop {
+    /// Help was asked for.
+    Help(String),
+    /// The command line is not valid.
+    Usage(String),
+}
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optflag("", "json", "print the report as one JSON object");
+    options.optflag("", "wait", "apply: wait until the revision is in force everywhere");
+    options.optopt("", "change-id", "apply: ID of the change; the same for each try", "ID");
+    options.optopt("", "base", "apply: revision that the change was made from", "REVISION");
+    options.optopt("", "job-id", "submit: ID of a job that was submitted before", "ID");
+    options.optopt("", "settings", "settings file (INI)", "FILE");
+    options.optopt("", "store", "address of the store's gateway", "URL");
+    options.optopt("", "processes", "operator addresses of entries and sidecars", "ADDR[,ADDR]");
+    options.optopt("", "entry", "submit: addresses of entries", "ADDR[,ADDR]");
+    options.optopt("", "author", "apply: name recorded with the change", "NAME");
+    options.optopt("", "timeout", "longest time to keep trying, in seconds", "SECONDS");
+    options.optflag("h", "help", "show this help");
+    options.optflag("", "version", "show the version");
+    options
+}
+
+fn number(matches: &Matches, name: &str) -> Result<Option<u64>, Stop> {
+    let parse = |text: String| {
+        let reason = format!("--{name}: {text:?} is not valid; allowed: a whole number");
+        text.parse().map_err(|_| Stop::Usage(reason))
+    };
+    matches.opt_str(name).map(parse).transpose()
+}
+
+fn command(words: &[String]) -> Result<Command, Stop> {
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let command = match words.as_slice() {
+        ["check", file] => Command::Check { file: (*file).to_owned() },
+        ["apply", file] => Command::Apply { file: (*file).to_owned() },
+        ["show", service] => Command::Show { service: (*service).to_owned() },
+        ["diff", service, file] => {
+            Command::Diff { service: (*service).to_owned(), file: (*file).to_owned() }
+        }
+        ["history", service] => Command::History { service: (*service).to_owned() },
+        ["status", service] => Command::Status { service: (*service).to_owned() },
+        ["drain", address] => Command::Drain { address: (*address).to_owned() },
+        ["submit", file] => Command::Submit { file: (*file).to_owned() },
+        [] => return Err(Stop::Usage("no command".to_owned())),
+        [name, ..] => {
+            return Err(Stop::Usage(format!("unknown command {name:?}, or wrong arguments for it")))
+        }
+    };
+    Ok(command)
+}
+
+/// Parses the command line, without the program's name.
+pub(super) fn parse(arguments: &[String]) -> Result<Arguments, Stop> {
+    let options = options();
+    let matches = options.parse(arguments).map_err(|error| Stop::Usage(error.to_string()))?;
+    if matches.opt_present("help") {
+        return Err(Stop::Help(options.usage(BRIEF)));
+    }
+    if matches.opt_present("version") {
+        return Err(Stop::Help(format!("kingcupctl {}\n", env!("CARGO_PKG_VERSION"))));
+    }
+    Ok(Arguments {
+        command: command(&matches.free)?,
+        json: matches.opt_present("json"),
+        wait: matches.opt_present("wait"),
+        change_id: matches.opt_str("change-id"),
+        base: number(&matches, "base")?,
+        job_id: matches.opt_str("job-id"),
+        settings: matches.opt_str("settings"),
+        store: matches.opt_str("store"),
+        processes: matches.opt_str("processes"),
+        entries: matches.opt_str("entry"),
+        author: matches.opt_str("author"),
+        timeout_s: number(&matches, "timeout")?,
+    })
+}
--- a/crates/tools/src/lib.rs
+++ b/crates/tools/src/lib.rs
@@ -1,1 +1,3 @@
 //! Placeholder.
+
+pub mod ctl;
