--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod proxy;
 pub mod store;
+pub mod upstream;
