--- /dev/null
+++ b/crates/node/src/entry/admin.rs
@@ -0,0 +1,202 @@
+//! Operators' HTTP: health, readiness, status, drain, metrics.
+
+use kingcup_dispatch::route::State;
+use serde::Serialize;
+use stakker::CX;
+
+use super::{
+    contact::Contact,
+    metrics::{Sample, Scrape},
+    Entry,
+};
+use crate::{
+    http::{Answer, Call},
+    reactor,
+};
+
+#[derive(Serialize)]
+struct Status<'a> {
+    name: &'a str,
+    role: &'a str,
+    incarnation: String,
+    zone: &'a str,
+    ready: bool,
+    closing: bool,
+    store_up: bool,
+    revisions: std::collections::BTreeMap<&'a str, u64>,
+    sidecars: Vec<SidecarStatus<'a>>,
+    entries: Vec<EntryStatus<'a>>,
+    tables: std::collections::BTreeMap<String, u64>,
+}
+
+#[derive(Serialize)]
+struct SidecarStatus<'a> {
+    name: &'a str,
+    service: &'a str,
+    address: String,
+    incarnation: String,
+    state: &'a str,
+    revision: u64,
+    in_flight: usize,
+}
+
+#[derive(Serialize)]
+struct EntryStatus<'a> {
+    name: &'a str,
+    address: String,
+    incarnation: String,
+    state: &'a str,
+    closing: bool,
+}
+
+impl Entry {
+    /// Handles an operator's request.
+    pub(super) fn admin(&mut self, cx: CX![], call: Call) {
+        let now_us = reactor::now_us(cx);
+        let answer = match (call.method.as_str(), call.path.as_str()) {
+            ("GET", "/healthz") => Answer::text(200, "ok\n"),
+            ("GET", "/readyz") => self.readiness(),
+            ("GET", "/status") => self.status(),
+            ("GET", "/metrics") => self.scrape(),
+            ("POST", "/drain") => {
+                self.stop("drain", now_us);
+                Answer::text(202, "draining\n")
+            }
+            _ => Answer::text(404, "not found\n"),
+        };
+        call.reply.send(answer);
+        self.settle(now_us);
+    }
+
+    fn readiness(&self) -> Answer {
+        if self.stop.is_closing() {
+            Answer::text(503, "closing\n")
+        } else if self.documents.revisions().is_empty() {
+            Answer::text(503, "no document\n")
+        } else if !self.has_upstream() {
+            Answer::text(503, "no upstream\n")
+        } else {
+            Answer::text(200, "ready\n")
+        }
+    }
+
+    fn has_upstream(&self) -> bool {
+        let open = |row: &kingcup_dispatch::route::Row| row.state == State::Open;
+        self.services.iter().any(|service| service.engine.fleet().iter().any(|(_, row)| open(row)))
+    }
+
+    fn status(&self) -> Answer {
+        let status = Status {
+            name: &self.settings.process.name,
+            role: "entry",
+            incarnation: format!("{:x}", self.incarnation),
+            zone: &self.settings.process.zone,
+            ready: self.readiness().status == 200,
+            closing: self.stop.is_closing(),
+            store_up: self.stop.store_up,
+            revisions: self.documents.revisions().into_iter().collect(),
+            sidecars: self.sidecar_statuses(),
+            entries: self.entry_statuses(),
+            tables: self.tables().into_iter().map(|row| (row.of.to_string(), row.value)).collect(),
+        };
+        Answer::json(200, serde_json::to_vec(&status).unwrap_or_default())
+    }
+
+    fn sidecar_statuses(&self) -> Vec<SidecarStatus<'_>> {
+        let mut rows: Vec<SidecarStatus<'_>> = self
+            .sidecars
+            .iter()
+            .map(|(_, row)| SidecarStatus {
+                name: &row.name,
+                service: &self.services.get(row.service).name,
+                address: row.contact.address.to_string(),
+                incarnation: format!("{:x}", row.incarnation),
+                state: self.sidecar_state(row),
+                revision: self.sidecar_revision(&row.name),
+                in_flight: self.flights(row),
+            })
+            .collect();
+        rows.sort_unstable_by_key(|row| row.name);
+        rows
+    }
+
+    fn sidecar_state(&self, row: &super::sidecars::Row) -> &'static str {
+        let fleet = self.services.get(row.service).engine.fleet();
+        let state = row.upstream.and_then(|upstream| fleet.get(upstream)).map(|row| row.state);
+        match state {
+            _ if row.closing => "closing",
+            Some(State::Ejected) => "ejected",
+            Some(State::Closing) => "closing",
+            _ => link_state(&row.contact),
+        }
+    }
+
+    fn entry_statuses(&self) -> Vec<EntryStatus<'_>> {
+        let mut rows: Vec<EntryStatus<'_>> = self
+            .peers
+            .iter()
+            .map(|(_, row)| EntryStatus {
+                name: &row.name,
+                address: row.contact.address.to_string(),
+                incarnation: format!("{:x}", row.incarnation),
+                state: link_state(&row.contact),
+                closing: self.peer_closing(&row.name),
+            })
+            .collect();
+        rows.sort_unstable_by_key(|row| row.name);
+        rows
+    }
+
+    /// Rows or bytes of each table.
+    fn tables(&self) -> Vec<Sample> {
+        let census: Vec<_> = self.services.iter().map(|service| service.engine.census()).collect();
+        let sum = |field: fn(&kingcup_dispatch::engine::Census) -> usize| {
+            census.iter().map(field).sum::<usize>() as u64
+        };
+        let sample = |of: &str, value: u64| Sample { of: of.into(), value };
+        vec![
+            sample("links", self.links.len() as u64),
+            sample("sidecars", self.sidecars.count() as u64),
+            sample("entries", self.peers.iter().count() as u64),
+            sample("jobs", sum(|census| census.jobs)),
+            sample("tasks_waiting", sum(|census| census.waiting)),
+            sample("tasks_sent", sum(|census| census.sent)),
+            sample("job_bytes", sum(|census| census.bytes)),
+            sample("forwards", self.forwards.len() as u64),
+            sample("clients", self.ledger.clients() as u64),
+            sample("records_running", self.ledger.running() as u64),
+            sample("record_bytes", self.ledger.answer_bytes() as u64),
+        ]
+    }
+
+    fn scrape(&mut self) -> Answer {
+        let mut scrape = Scrape {
+            tables: self.tables(),
+            sent_bytes: self.port.sent_bytes,
+            received_bytes: self.port.received_bytes,
+            rejected: self.port.rejected,
+            ..Scrape::default()
+        };
+        for (service, value) in self.documents.revisions() {
+            scrape.revisions.push(Sample { of: service.into(), value });
+        }
+        for service in self.services.iter() {
+            for (class, row) in service.engine.shares().classes.iter().enumerate() {
+                let Some(kind) = service.engine.kind_name(class as u16) else { continue };
+                let (of, value) = (kind.clone(), u64::from(row.waiting));
+                scrape.waiting.push(Sample { of: of.clone(), value });
+                scrape.running.push(Sample { of, value: u64::from(row.own) });
+            }
+        }
+        Answer::text(200, self.metrics.text(&scrape))
+    }
+}
+
+fn link_state(contact: &Contact) -> &'static str {
+    use super::contact::Phase;
+    match contact.phase {
+        Phase::Open => "open",
+        Phase::Greeting(_) => "connecting",
+        Phase::Idle(_) => "down",
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/deadlines.rs
@@ -0,0 +1,39 @@
+//! Deadlines that callers set for their jobs.
+
+use std::{cmp::Reverse, collections::BinaryHeap};
+
+use kingcup_dispatch::job;
+
+use super::services::{Id, Place};
+
+/// A deadline; ordered by time.
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Row {
+    deadline_us: u64,
+    service: usize,
+    job: job::Key,
+}
+
+/// Deadlines of jobs in progress. Jobs that have ended are skipped by the caller.
+#[derive(Debug, Default)]
+pub struct Table {
+    rows: BinaryHeap<Reverse<Row>>,
+}
+
+impl Table {
+    /// Adds a deadline, in microseconds.
+    pub fn push(&mut self, deadline_us: u64, place: Place) {
+        let Place { service: Id(service), job } = place;
+        self.rows.push(Reverse(Row { deadline_us, service, job }));
+    }
+
+    /// Takes a job whose deadline has passed.
+    pub fn pop(&mut self, now_us: u64) -> Option<Place> {
+        let Reverse(row) = self.rows.peek()?;
+        if row.deadline_us > now_us {
+            return None;
+        }
+        let Reverse(row) = self.rows.pop()?;
+        Some(Place { service: Id(row.service), job: row.job })
+    }
+}
--- /dev/null
+++ b/crates/node/src/entry/metrics.rs
@@ -0,0 +1,261 @@
+//! Metrics by `opentelemetry`, in the text form of Prometheus.
+//!
+//! Messages are counted in plain numbers on the hot path and added to their counters at a scrape.
+
+use std::{mem, sync::Arc};
+
+use kingcup_dispatch::code::Code;
+use kingcup_wire::Frame;
+use opentelemetry::{
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _},
+    KeyValue,
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Bounds of the histograms of time, in seconds.
+const BOUNDS_S: [f64; 14] =
+    [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0];
+/// Microseconds in a second.
+const SECOND_US: f64 = 1_000_000.0;
+
+/// Names of the message types, in the order of `index`.
+const TYPES: [&str; 22] = [
+    "hello",
+    "welcome",
+    "start",
+    "finish",
+    "refuse",
+    "recall",
+    "recalled",
+    "inquire",
+    "fates",
+    "probe",
+    "probe_ack",
+    "load",
+    "closing",
+    "fetch",
+    "document",
+    "forward",
+    "forwarded",
+    "handover",
+    "handover_ack",
+    "announce",
+    "announce_ack",
+    "digest",
+];
+
+fn index(frame: &Frame<'_>) -> usize {
+    match frame {
+        Frame::Hello(_) => 0,
+        Frame::Welcome(_) => 1,
+        Frame::Start(_) => 2,
+        Frame::Finish(_) => 3,
+        Frame::Refuse(_) => 4,
+        Frame::Recall(_) => 5,
+        Frame::Recalled(_) => 6,
+        Frame::Inquire(_) => 7,
+        Frame::Fates(_) => 8,
+        Frame::Probe(_) => 9,
+        Frame::ProbeAck(_) => 10,
+        Frame::Load(_) => 11,
+        Frame::Closing => 12,
+        Frame::Fetch(_) => 13,
+        Frame::Document(_) => 14,
+        Frame::Forward(_) => 15,
+        Frame::Forwarded(_) => 16,
+        Frame::Handover(_) => 17,
+        Frame::HandoverAck(_) => 18,
+        Frame::Announce(_) => 19,
+        Frame::AnnounceAck(_) => 20,
+        Frame::Digest(_) => 21,
+    }
+}
+
+/// A value that is read at a scrape.
+#[derive(Debug, Clone)]
+pub struct Sample {
+    /// Name of the table, kind or service.
+    pub of: Arc<str>,
+    /// The value.
+    pub value: u64,
+}
+
+/// What is read from the tables at a scrape.
+#[derive(Debug, Default)]
+pub struct Scrape {
+    /// Rows or bytes by table.
+    pub tables: Vec<Sample>,
+    /// Running tasks by service and kind.
+    pub running: Vec<Sample>,
+    /// Waiting tasks by service and kind.
+    pub waiting: Vec<Sample>,
+    /// Revision in force by service.
+    pub revisions: Vec<Sample>,
+    /// Bytes sent by datagram since the start.
+    pub sent_bytes: u64,
+    /// Bytes received by datagram since the start.
+    pub received_bytes: u64,
+    /// Datagrams rejected since the start.
+    pub rejected: u64,
+}
+
+#[derive(Debug, Default)]
+struct Tally {
+    sent: [u64; TYPES.len()],
+    received: [u64; TYPES.len()],
+}
+
+/// Last value that was added to a counter whose source keeps a total.
+#[derive(Debug, Default)]
+struct Total(u64);
+
+impl Total {
+    fn rise(&mut self, total: u64) -> u64 {
+        let before = mem::replace(&mut self.0, total);
+        total.saturating_sub(before)
+    }
+}
+
+/// The entry's metrics.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    accepted: Counter<u64>,
+    refused: Counter<u64>,
+    answered: Counter<u64>,
+    response_s: Histogram<f64>,
+    queue_s: Histogram<f64>,
+    messages: Counter<u64>,
+    control_bytes: Counter<u64>,
+    rejected: Counter<u64>,
+    tables: Gauge<u64>,
+    running: Gauge<u64>,
+    waiting: Gauge<u64>,
+    revisions: Gauge<u64>,
+    tally: Tally,
+    sent_bytes: Total,
+    received_bytes: Total,
+    rejected_total: Total,
+}
+
+fn seconds(meter: &Meter, name: &'static str, about: &'static str) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_description(about)
+        .with_unit("s")
+        .with_boundaries(BOUNDS_S.to_vec())
+        .build()
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// The error of the exporter.
+    pub fn open() -> std::io::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()
+            .map_err(std::io::Error::other)?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("kingcup");
+        let counter = |name, about| meter.u64_counter(name).with_description(about).build();
+        let gauge = |name, about| meter.u64_gauge(name).with_description(about).build();
+        Ok(Self {
+            accepted: counter("kingcup_accepted", "Jobs and requests accepted"),
+            refused: counter("kingcup_refused", "Jobs and requests refused, by code"),
+            answered: counter("kingcup_answered", "Jobs and requests answered, by code"),
+            response_s: seconds(&meter, "kingcup_response", "From acceptance to the answer"),
+            queue_s: seconds(&meter, "kingcup_queue", "From acceptance to the first start"),
+            messages: counter("kingcup_messages", "Messages between the system's processes"),
+            control_bytes: counter("kingcup_control_bytes", "Bytes of datagrams"),
+            rejected: counter("kingcup_datagrams_rejected", "Damaged or foreign datagrams"),
+            tables: gauge("kingcup_table_size", "Rows or bytes of each table"),
+            running: gauge("kingcup_running", "Tasks of this entry without outcome"),
+            waiting: gauge("kingcup_waiting", "Tasks that wait at this entry"),
+            revisions: gauge("kingcup_revision", "Revision of the document in force"),
+            registry,
+            _provider: provider,
+            tally: Tally::default(),
+            sent_bytes: Total::default(),
+            received_bytes: Total::default(),
+            rejected_total: Total::default(),
+        })
+    }
+
+    /// Counts an accepted submission.
+    pub fn accepted(&self, kind: &Arc<str>) {
+        self.accepted.add(1, &[KeyValue::new("kind", kind.clone())]);
+    }
+
+    /// Counts a refused submission.
+    pub fn refused(&self, code: Code) {
+        self.refused.add(1, &[KeyValue::new("code", i64::from(code.number()))]);
+    }
+
+    /// Counts an answer.
+    pub fn answered(&self, kind: &Arc<str>, code: Code, taken_us: u64) {
+        let kind = KeyValue::new("kind", kind.clone());
+        self.response_s.record(taken_us as f64 / SECOND_US, std::slice::from_ref(&kind));
+        self.answered.add(1, &[kind, KeyValue::new("code", i64::from(code.number()))]);
+    }
+
+    /// Records the time from acceptance to the first start.
+    pub fn queued(&self, kind: &Arc<str>, waited_us: u64) {
+        let kind = KeyValue::new("kind", kind.clone());
+        self.queue_s.record(waited_us as f64 / SECOND_US, &[kind]);
+    }
+
+    /// Counts a message that was sent.
+    pub fn sent(&mut self, frame: &Frame<'_>) {
+        self.tally.sent[index(frame)] += 1;
+    }
+
+    /// Counts a message that was received.
+    pub fn received(&mut self, frame: &Frame<'_>) {
+        self.tally.received[index(frame)] += 1;
+    }
+
+    /// Text for a scrape.
+    pub fn text(&mut self, scrape: &Scrape) -> Vec<u8> {
+        self.add_messages();
+        self.add_bytes(scrape);
+        record(&self.tables, "table", &scrape.tables);
+        record(&self.running, "kind", &scrape.running);
+        record(&self.waiting, "kind", &scrape.waiting);
+        record(&self.revisions, "service", &scrape.revisions);
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!("event=metrics_failed error={error:?}");
+        }
+        text
+    }
+
+    fn add_messages(&mut self) {
+        let tally = mem::take(&mut self.tally);
+        for (direction, counts) in [("sent", tally.sent), ("received", tally.received)] {
+            for (name, count) in TYPES.iter().zip(counts).filter(|(_, count)| *count > 0) {
+                let labels = [KeyValue::new("type", *name), KeyValue::new("direction", direction)];
+                self.messages.add(count, &labels);
+            }
+        }
+    }
+
+    fn add_bytes(&mut self, scrape: &Scrape) {
+        let sent = self.sent_bytes.rise(scrape.sent_bytes);
+        self.control_bytes.add(sent, &[KeyValue::new("direction", "sent")]);
+        let received = self.received_bytes.rise(scrape.received_bytes);
+        self.control_bytes.add(received, &[KeyValue::new("direction", "received")]);
+        self.rejected.add(self.rejected_total.rise(scrape.rejected), &[]);
+    }
+}
+
+fn record(gauge: &Gauge<u64>, label: &'static str, samples: &[Sample]) {
+    for sample in samples {
+        gauge.record(sample.value, &[KeyValue::new(label, sample.of.clone())]);
+    }
+}
