--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod quota;
 pub mod rendezvous;
 pub mod retry;
+pub mod route;
