--- a/crates/dispatch/tests/config.rs
+++ b/crates/dispatch/tests/config.rs
@@ -29,6 +29,7 @@
     assert!(store.fetches(SETTLE_MS - 1).is_empty());
     assert!(store.tick(SETTLE_MS).is_empty(), "5 is known to be superseded");
     assert_eq!(peers_asked(&mut store, SETTLE_MS), [("b".to_owned(), 6)]);
+    assert_eq!(store.offer(held(5), Source::Peer, SETTLE_MS), Verdict::Kept);
     assert_eq!(store.offer(held(6), Source::Peer, SETTLE_MS), Verdict::Applied);
     assert!(store.fetches(SETTLE_MS + FETCH_MS).is_empty());
 }
