--- a/crates/node/src/sidecar/entries.rs
+++ b/crates/node/src/sidecar/entries.rs
@@ -80,15 +80,17 @@
         due
     }
 
-    /// Forgets learned entries that no longer answer, and gives their names.
+    /// Names of the entries that no longer answer. Those that were learned are forgotten here; what
+    /// those of the settings reported no longer counts either.
     pub fn forget_silent(&mut self, now_ms: u64) -> Vec<String> {
-        let silent =
-            |row: &Row| !row.from_settings && now_ms >= row.heard_ms + MISSED * row.interval_ms;
+        let silent = |row: &Row| now_ms >= row.heard_ms + MISSED * row.interval_ms;
         let names: Vec<String> =
             self.rows.iter().filter(|(_, row)| silent(row)).map(|(name, _)| name.clone()).collect();
         for name in &names {
-            self.rows.remove(name);
-            log::info!("event=entry_forgotten entry={name}");
+            if self.rows.get(name).is_some_and(|row| !row.from_settings) {
+                self.rows.remove(name);
+                log::info!("event=entry_forgotten entry={name}");
+            }
         }
         names
     }
--- a/crates/node/src/sidecar/status.rs
+++ b/crates/node/src/sidecar/status.rs
@@ -1,5 +1,7 @@
 //! What operators are told.
 
+use std::collections::BTreeMap;
+
 use kingcup_dispatch::gate::Gate;
 use serde::Serialize;
 
@@ -41,6 +43,8 @@
 pub struct Status<'a> {
     /// Name of the sidecar.
     pub name: &'a str,
+    /// `sidecar`.
+    pub role: &'static str,
     /// Its incarnation, in hexadecimal.
     pub incarnation: String,
     /// Service whose upstream it fronts.
@@ -51,6 +55,8 @@
     pub upstream: String,
     /// Revision of the document in force; 0 if there is none.
     pub revision: u64,
+    /// Services with the revision in force, in the form that entries have too.
+    pub revisions: BTreeMap<&'a str, u64>,
     /// It takes no new work.
     pub closing: bool,
     /// It takes no new work and nothing runs any more.
@@ -83,13 +89,17 @@
         connected: peers.iter().any(|peer| peer.entry == name),
         silent_ms: now_ms.saturating_sub(heard_ms),
     };
+    let revision = Some(gate.revision()).filter(|revision| *revision > 0);
+    let revisions = revision.into_iter().map(|revision| (settings.service.as_str(), revision));
     Status {
         name: &settings.process.name,
+        role: "sidecar",
         incarnation: format!("{:x}", gate.incarnation()),
         service: &settings.service,
         zone: &settings.process.zone,
         upstream: settings.upstream.to_string(),
         revision: gate.revision(),
+        revisions: revisions.collect(),
         closing: gate.is_closing(),
         drained: gate.is_closing() && gate.running() == 0,
         slots: gate.slots(),
