Add kingcup-load for open-loop load and its figures

Arrivals are drawn before the run from a workload file. The report gives response time against the ideal, messages for each start, what each kind keeps during a flood, and a comparison of the upstreams' starts with the responses.

--- a/crates/proof/src/harness/caller.rs
+++ b/crates/proof/src/harness/caller.rs
@@ -26,6 +26,17 @@
     pub address: SocketAddr,
 }
 
+/// How a task ends at the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// With its marker as the answer.
+    Answer,
+    /// With a failure.
+    Fail,
+    /// Never.
+    Hang,
+}
+
 /// One task.
 #[derive(Debug, Clone)]
 pub struct Task {
@@ -35,8 +46,8 @@
     pub marker: String,
     /// Run time, in milliseconds.
     pub sleep_ms: u64,
-    /// What the upstream is told to do instead of sleeping and answering.
-    pub mode: Option<&'static str>,
+    /// What the upstream is told to do after the sleep.
+    pub end: End,
 }
 
 /// A job, ready to be submitted as often as the caller likes.
@@ -127,21 +138,18 @@
 impl Task {
     /// A task that sleeps and then returns its marker.
     pub fn new(kind: &str, marker: impl Into<String>, sleep_ms: u64) -> Self {
-        Self { kind: kind.to_owned(), marker: marker.into(), sleep_ms, mode: None }
+        Self { kind: kind.to_owned(), marker: marker.into(), sleep_ms, end: End::Answer }
     }
 
     fn payload(&self) -> Value {
-        let mut payload = json!({ "sleep_ms": self.sleep_ms, "marker": self.marker });
-        if let Some(mode) = self.mode {
-            payload["mode"] = json!(mode);
-        }
-        payload
+        let (fail, hang) = (self.end == End::Fail, self.end == End::Hang);
+        json!({ "sleep_ms": self.sleep_ms, "echo": self.marker, "fail": fail, "hang": hang })
     }
 }
 
-/// The marker in an answer of the upstream stand-in.
+/// The marker in an answer of the upstream stand-in; of any other answer, its whole text.
 fn marker(answer: &Value) -> String {
-    match answer.get("marker").or_else(|| answer.pointer("/payload/marker")) {
+    match answer.get("echo") {
         Some(Value::String(marker)) => marker.clone(),
         _ => answer.to_string(),
     }
--- a/crates/proof/src/harness/cluster.rs
+++ b/crates/proof/src/harness/cluster.rs
@@ -97,13 +97,18 @@
     /// Job ID.
     pub job: String,
     /// Index of the task.
-    pub task: u16,
+    pub task: Option<u16>,
     /// Time of the start, in microseconds.
     pub start_us: u64,
     /// Time of the end, if it ended.
     pub end_us: Option<u64>,
 }
 
+#[derive(Debug, Deserialize)]
+struct Starts {
+    starts: Vec<Start>,
+}
+
 /// Running programs. Dropping it kills them.
 #[derive(Debug)]
 pub struct Cluster {
@@ -426,7 +431,9 @@
         let wrong = |what: String| Fault::Unexpected(format!("starts of {name}: {what}"));
         let reply = http::get(&self.agent, sidecar.settings.upstream, "/starts");
         let reply = reply.map_err(|error| wrong(error.to_string()))?;
-        serde_json::from_slice(&reply.body).map_err(|error| wrong(error.to_string()))
+        let starts: Starts =
+            serde_json::from_slice(&reply.body).map_err(|error| wrong(error.to_string()))?;
+        Ok(starts.starts)
     }
 
     /// Number of starts that all upstreams have seen so far.
@@ -487,7 +494,7 @@
                 events.push(Event::Ran {
                     upstream: sidecar.upstream_name.clone(),
                     work: self.recorder.work_of(&start.job),
-                    task: start.task,
+                    task: start.task.unwrap_or(u16::MAX),
                     start_us: start.start_us,
                     end_us: start.end_us,
                 });
--- a/crates/tools/src/lib.rs
+++ b/crates/tools/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Command line for operators and teams, and the load tool.
+
+pub mod load;
--- /dev/null
+++ b/crates/tools/src/load/client.rs
@@ -0,0 +1,222 @@
+//! One caller thread.
+
+use std::{
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use kingcup_dispatch::code::Code;
+use serde::{Deserialize, Serialize};
+use ureq::Agent;
+
+use super::{schedule::Arrival, workload::Workload, Options};
+
+/// Stack of a caller thread, in bytes; there are many of them.
+pub const STACK_BYTES: usize = 256 * 1024;
+/// Largest response, in bytes.
+const BODY_BYTES: u64 = 64 << 20;
+
+/// Clock of a run.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Clock {
+    /// Starts a run.
+    pub fn start() -> Self {
+        Self { start: Instant::now() }
+    }
+
+    /// Time since the start, in microseconds.
+    pub fn now_us(self) -> u64 {
+        self.start.elapsed().as_micros() as u64
+    }
+
+    /// Waits until a time after the start.
+    pub fn wait_until(self, at_us: u64) {
+        let due = self.start + Duration::from_micros(at_us);
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+    }
+}
+
+/// What came of one submission.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sample {
+    /// Index of the arrival.
+    pub arrival: usize,
+    /// Job ID, if known.
+    pub job: String,
+    /// Number of tasks.
+    pub tasks: usize,
+    /// Time from the drawn time of arrival to the sending, in microseconds.
+    pub late_us: u64,
+    /// Time from the drawn time of arrival to the whole response, in microseconds.
+    pub response_us: u64,
+    /// Code of the response; none if there was no whole response.
+    pub code: Option<Code>,
+    /// True if a complete response lacks answers or carries those of other tasks.
+    pub wrong: bool,
+}
+
+#[derive(Serialize)]
+struct JobBody<'a> {
+    service: &'a str,
+    tasks: Vec<TaskBody<'a>>,
+}
+
+#[derive(Serialize)]
+struct TaskBody<'a> {
+    kind: &'a str,
+    payload: Payload,
+}
+
+#[derive(Serialize)]
+struct RequestBody<'a> {
+    service: &'a str,
+    kind: &'a str,
+    payload: Payload,
+}
+
+/// Instruction for the upstream stand-in.
+#[derive(Serialize)]
+struct Payload {
+    sleep_ms: f64,
+    echo: String,
+}
+
+#[derive(Deserialize)]
+struct AnswerBody {
+    job: String,
+    code: u16,
+    answers: Vec<serde_json::Value>,
+}
+
+#[derive(Deserialize)]
+struct HomeBody {
+    home: String,
+}
+
+/// A caller with a home token at each entry.
+#[derive(Debug)]
+pub struct Client<'a> {
+    workload: &'a Workload,
+    entries: &'a [SocketAddr],
+    any_entry: bool,
+    agent: Agent,
+    number: usize,
+    homes: Vec<Option<String>>,
+    sequence: u64,
+}
+
+impl<'a> Client<'a> {
+    /// Makes a caller.
+    pub fn open(workload: &'a Workload, options: &'a Options, number: usize) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(options.timeout))
+            .build();
+        Self {
+            workload,
+            entries: &options.entries,
+            any_entry: options.any_entry,
+            agent: Agent::new_with_config(config),
+            number,
+            homes: vec![None; options.entries.len()],
+            sequence: 0,
+        }
+    }
+
+    /// Sends one submission and waits for its response.
+    pub fn send(&mut self, index: usize, arrival: &Arrival, clock: Clock) -> Sample {
+        let late_us = clock.now_us().saturating_sub(arrival.at_us);
+        let entry = index % self.entries.len();
+        let kind = &self.workload.kinds[arrival.kind];
+        let (job, answer) = match kind.single {
+            true => (String::new(), self.request(entry, index, arrival)),
+            false => self.job(entry, index, arrival),
+        };
+        if answer.is_none() {
+            self.homes[entry] = None;
+        }
+        let response_us = clock.now_us().saturating_sub(arrival.at_us);
+        let code = answer.as_ref().and_then(|answer| Code::from_number(answer.code));
+        let named = answer.as_ref().map(|answer| answer.job.clone()).filter(|_| job.is_empty());
+        let wrong = code == Some(Code::Complete)
+            && answer.is_some_and(|answer| !is_whole(&answer.answers, index, arrival));
+        let job = named.unwrap_or(job);
+        let tasks = arrival.run_us.len();
+        Sample { arrival: index, job, tasks, late_us, response_us, code, wrong }
+    }
+
+    fn request(&self, entry: usize, index: usize, arrival: &Arrival) -> Option<AnswerBody> {
+        let kind = &self.workload.kinds[arrival.kind].name;
+        let payload = payload(index, 0, arrival);
+        let body = RequestBody { service: &self.workload.service, kind, payload };
+        self.post(self.entries[entry], "/v1/requests", None, &body)
+    }
+
+    fn job(
+        &mut self,
+        entry: usize,
+        index: usize,
+        arrival: &Arrival,
+    ) -> (String, Option<AnswerBody>) {
+        let Some(home) = self.home(entry) else { return (String::new(), None) };
+        self.sequence += 1;
+        let job = format!("{home}-{:x}", self.sequence);
+        let kind = &self.workload.kinds[arrival.kind].name;
+        let tasks = 0..arrival.run_us.len();
+        let tasks = tasks.map(|task| TaskBody { kind, payload: payload(index, task, arrival) });
+        let body = JobBody { service: &self.workload.service, tasks: tasks.collect() };
+        let to = match self.any_entry {
+            true => (index + self.number) % self.entries.len(),
+            false => entry,
+        };
+        let answer = self.post(self.entries[to], "/v1/jobs", Some(&job), &body);
+        (job, answer)
+    }
+
+    fn home(&mut self, entry: usize) -> Option<String> {
+        if self.homes[entry].is_none() {
+            let url = format!("http://{}/v1/home", self.entries[entry]);
+            let text = self.agent.get(url).call().ok()?.body_mut().read_to_string().ok()?;
+            let body: HomeBody = serde_json::from_str(&text).ok()?;
+            self.homes[entry] = Some(body.home);
+        }
+        self.homes[entry].clone()
+    }
+
+    fn post(
+        &self,
+        entry: SocketAddr,
+        path: &str,
+        job: Option<&str>,
+        body: &impl Serialize,
+    ) -> Option<AnswerBody> {
+        let mut request = self.agent.post(format!("http://{entry}{path}"));
+        if let Some(job) = job {
+            request = request.header("Kingcup-Job-Id", job);
+        }
+        let body = serde_json::to_vec(body).ok()?;
+        let mut response = request.header("Content-Type", "application/json").send(&body).ok()?;
+        let body = response.body_mut().with_config().limit(BODY_BYTES).read_to_vec().ok()?;
+        serde_json::from_slice(&body).ok()
+    }
+}
+
+fn marker(index: usize, task: usize) -> String {
+    format!("{index}/{task}")
+}
+
+fn payload(index: usize, task: usize, arrival: &Arrival) -> Payload {
+    Payload { sleep_ms: arrival.run_us[task] as f64 / 1e3, echo: marker(index, task) }
+}
+
+fn is_whole(answers: &[serde_json::Value], index: usize, arrival: &Arrival) -> bool {
+    let own = |(task, answer): (usize, &serde_json::Value)| {
+        answer.get("echo").and_then(|value| value.as_str()) == Some(&marker(index, task))
+    };
+    answers.len() == arrival.run_us.len() && answers.iter().enumerate().all(own)
+}
--- /dev/null
+++ b/crates/tools/tests/load.rs
@@ -0,0 +1,184 @@
+//! The load tool draws what the workload says and reports what happened.
+
+use kingcup_dispatch::code::Code;
+use kingcup_tools::load::{
+    client::Sample,
+    ledger::{Ledger, Start},
+    metrics,
+    report::{Report, Sums},
+    schedule::{draw, Arrival},
+    workload::Workload,
+};
+use rstest::rstest;
+
+const WORKLOAD: &str = r#"{
+    "service": "log-desk", "seed": 7, "slots": 10,
+    "kinds": [
+        {"name": "correction", "urgency": "normal", "rate_per_s": 50, "min_tasks": 2, "max_tasks": 4,
+         "run_ms": [{"weight": 9, "min": 50, "max": 1000}, {"weight": 1, "min": 2000, "max": 5000}]},
+        {"name": "retraction", "urgency": "critical", "rate_per_s": 10, "single": true,
+         "run_ms": [{"weight": 1, "min": 100, "max": 100}]}
+    ],
+    "phases": [
+        {"name": "steady", "seconds": 20},
+        {"name": "flood", "seconds": 10, "factors": [{"kind": "correction", "factor": 10}]}
+    ]
+}"#;
+
+fn workload() -> Workload {
+    Workload::read(WORKLOAD).unwrap()
+}
+
+fn count(arrivals: &[Arrival], phase: usize, kind: usize) -> usize {
+    arrivals.iter().filter(|arrival| arrival.phase == phase && arrival.kind == kind).count()
+}
+
+/// Guards against arrivals that depend on anything but the seed.
+#[test]
+fn draws_are_repeatable() {
+    assert_eq!(draw(&workload()), draw(&workload()));
+    let other = Workload { seed: 8, ..workload() };
+    assert_ne!(draw(&workload()), draw(&other));
+}
+
+/// Guards against wrong rates, and against a flood that changes the other kinds' rates.
+#[test]
+fn rates_follow_phases_and_factors() {
+    let arrivals = draw(&workload());
+    let near = |count: usize, mean: f64| (count as f64 - mean).abs() < 5.0 * mean.sqrt();
+    assert!(near(count(&arrivals, 0, 0), 1_000.0));
+    assert!(near(count(&arrivals, 1, 0), 5_000.0));
+    assert!(near(count(&arrivals, 0, 1), 200.0));
+    assert!(near(count(&arrivals, 1, 1), 100.0));
+    assert!(arrivals.is_sorted_by_key(|arrival| arrival.at_us));
+}
+
+/// Guards against sizes and run times outside the workload's ranges, and against a range that is
+/// never drawn.
+#[test]
+fn sizes_and_run_times_follow_the_workload() {
+    let arrivals = draw(&workload());
+    let corrections: Vec<_> = arrivals.iter().filter(|arrival| arrival.kind == 0).collect();
+    for size in 2..=4 {
+        assert!(corrections.iter().any(|arrival| arrival.run_us.len() == size));
+    }
+    let runs: Vec<_> = corrections.iter().flat_map(|arrival| &arrival.run_us).copied().collect();
+    let long = runs.iter().filter(|run_us| (2_000_000..=5_000_000).contains(*run_us)).count();
+    let short = runs.iter().filter(|run_us| (50_000..=1_000_000).contains(*run_us)).count();
+    assert_eq!(long + short, runs.len());
+    let part = long as f64 / runs.len() as f64;
+    assert!((0.08..0.12).contains(&part), "{part}");
+}
+
+/// Guards against an ideal that no system could reach, or that is too easy.
+#[rstest]
+#[case::one_task(vec![300], 10, 300)]
+#[case::longest_task(vec![100, 300, 200], 10, 300)]
+#[case::more_tasks_than_slots(vec![100; 30], 10, 300)]
+#[case::one_slot(vec![100, 300], 1, 400)]
+fn ideal_is_the_longest_task_or_the_spread_work(
+    #[case] run_us: Vec<u64>,
+    #[case] slots: u32,
+    #[case] ideal_us: u64,
+) {
+    let arrival = Arrival { at_us: 0, phase: 0, kind: 0, run_us };
+    assert_eq!(arrival.ideal_us(slots), ideal_us);
+}
+
+/// Guards against workloads that run although they make no sense.
+#[rstest]
+#[case::unknown_field("\"seed\": 7", "\"seed\": 7, \"sead\": 8")]
+#[case::unknown_kind_in_a_factor("\"kind\": \"correction\"", "\"kind\": \"corection\"")]
+#[case::too_many_tasks("\"max_tasks\": 4", "\"max_tasks\": 111")]
+#[case::no_tasks("\"min_tasks\": 2", "\"min_tasks\": 0")]
+#[case::range_reversed("\"min\": 50", "\"min\": 5000")]
+#[case::negative_rate("\"rate_per_s\": 50", "\"rate_per_s\": -1")]
+#[case::no_slots("\"slots\": 10", "\"slots\": 0")]
+#[case::empty_phase("\"seconds\": 20", "\"seconds\": 0")]
+fn rejects_wrong_workloads(#[case] from: &str, #[case] to: &str) {
+    assert!(WORKLOAD.contains(from));
+    assert!(Workload::read(&WORKLOAD.replacen(from, to, 1)).is_err());
+}
+
+/// Guards against metrics of other names or comments being counted.
+#[test]
+fn sums_one_metric_over_its_labels() {
+    let text = "# HELP sent_total messages\n# TYPE sent_total counter\n\
+                sent_total{frame=\"start\",to=\"a}b\"} 5\nsent_total{frame=\"finish\"} 2.5 1700000\n\
+                sent_total 1\nsent_totals 100\nsent_total_bytes{x=\"y\"} 100\n";
+    assert!((metrics::sum(text, "sent_total") - 8.5).abs() < 1e-9);
+}
+
+fn sample(arrival: usize, job: &str, response_us: u64, code: Option<Code>) -> Sample {
+    let (job, late_us) = (job.to_owned(), 0);
+    Sample { arrival, job, tasks: 2, late_us, response_us, code, wrong: false }
+}
+
+fn start(job: &str, task: u16) -> Start {
+    Start { job: job.to_owned(), task: Some(task) }
+}
+
+/// Guards against doubles, missing starts and untrue refusals that go uncounted.
+#[test]
+fn ledger_counts_each_breach() {
+    let starts =
+        [start("a", 0), start("a", 1), start("a", 1), start("b", 0), start("c", 0), start("d", 0)];
+    let samples = [
+        sample(0, "a", 1, Some(Code::Complete)),
+        sample(1, "b", 1, Some(Code::Complete)),
+        sample(2, "c", 1, Some(Code::QueueFull)),
+        sample(3, "d", 1, Some(Code::UpstreamLost)),
+        sample(4, "e", 1, None),
+        Sample { wrong: true, ..sample(5, "a", 1, Some(Code::Complete)) },
+        sample(6, "f", 1, Some(Code::QueueFull)),
+    ];
+    let expected = Ledger {
+        starts: 6,
+        doubles: 1,
+        missing: 1,
+        untrue_refusals: 1,
+        losses: 1,
+        wrong_answers: 1,
+    };
+    assert_eq!(Ledger::open(&starts, &samples), expected);
+}
+
+/// Guards against figures that mix phases, kinds or outcomes.
+#[test]
+fn report_separates_phases_kinds_and_outcomes() {
+    let workload = workload();
+    let arrival = |phase, kind| Arrival { at_us: 0, phase, kind, run_us: vec![100_000, 50_000] };
+    let arrivals = [arrival(0, 0), arrival(0, 0), arrival(1, 0), arrival(1, 0), arrival(0, 1)];
+    let samples = [
+        sample(0, "a", 100_000, Some(Code::Complete)),
+        sample(1, "b", 200_000, Some(Code::Complete)),
+        sample(2, "c", 300_000, Some(Code::Complete)),
+        sample(3, "d", 5_000, Some(Code::QueueFull)),
+        sample(4, "e", 150_000, None),
+    ];
+    let ledger = Some(Ledger { starts: 6, ..Ledger::default() });
+    let sums = Sums { messages: Some(12.0), ledger };
+    let report = Report::open(&workload, &arrivals, &samples, sums);
+    let row = |phase: &str, kind: &str| {
+        report.rows.iter().find(|row| row.phase == phase && row.kind == kind).unwrap()
+    };
+    let steady = row("steady", "correction");
+    assert_eq!((steady.offered, steady.complete, steady.complete_tasks), (2, 2, 4));
+    assert!((steady.ratio_p50 - 1.0).abs() < 0.01 && (steady.ratio_max - 2.0).abs() < 0.01);
+    let flood = row("flood", "correction");
+    assert_eq!((flood.offered, flood.complete, flood.not_run), (2, 1, 1));
+    assert!((flood.refusal_p50_ms - 5.0).abs() < 0.1);
+    assert_eq!(row("steady", "retraction").broken, 1);
+    assert_eq!(row("steady", "all").offered, 3);
+    let kept = report.kept.iter().find(|kept| kept.kind == "correction").unwrap();
+    assert!((kept.complete - 0.5).abs() < 1e-9);
+    assert!((kept.ratio_p99 - 1.5).abs() < 0.02);
+    assert_eq!(report.messages_per_start, Some(2.0));
+}
+
+/// Guards against a sample workload that the tool rejects.
+#[test]
+fn sample_workload_is_valid() {
+    let workload = Workload::read(include_str!("../workloads/flood.json")).unwrap();
+    assert!(!draw(&workload).is_empty());
+}
