--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod link;
 pub mod logs;
 pub mod options;
+pub mod publish;
 pub mod reactor;
 pub mod settings;
 pub mod sidecar;
+pub mod store;
