--- a/crates/proof/src/harness.rs
+++ b/crates/proof/src/harness.rs
@@ -1,7 +1,9 @@
 //! Runs the real programs and records what callers, upstreams and operators see.
 
 pub mod caller;
+pub mod chaos;
 pub mod cluster;
+pub mod crowd;
 pub mod http;
 pub mod port;
 pub mod process;
--- a/crates/proof/src/harness/cluster.rs
+++ b/crates/proof/src/harness/cluster.rs
@@ -8,7 +8,12 @@
     time::Duration,
 };
 
-use kingcup_standin::proxy;
+use kingcup_dispatch::document::{Document, Kind, Urgency};
+use kingcup_standin::{
+    proxy,
+    store::{Control, Mode, Server},
+    upstream,
+};
 use serde::Deserialize;
 use ureq::Agent;
 
@@ -66,6 +71,66 @@
 pub const PLAIN: &str = "correction";
 /// Idempotent kind.
 pub const IDEMPOTENT: &str = "lookup";
+/// Kind with a short queue, for floods.
+pub const FLOOD: &str = "clarification";
+/// Kind with a short time limit at the upstream.
+pub const BRIEF: &str = "retraction";
+/// Time limit of the brief kind, in milliseconds.
+pub const BRIEF_TIMEOUT_MS: u32 = 1_000;
+/// Time limit of the other kinds, in milliseconds.
+const TIMEOUT_MS: u32 = 20_000;
+/// Waiting tasks of the flooding kind at one entry.
+pub const FLOOD_WAITING: u32 = 20;
+/// Waiting tasks of the other kinds at one entry.
+const MAX_WAITING: u32 = 5_000;
+/// Longest wait from acceptance to start, in milliseconds.
+const DEADLINE_MS: u32 = 20_000;
+
+/// The document that the harness applies.
+pub fn document() -> Document {
+    let kind = |name: &str, urgency, share_percent| Kind {
+        name: name.to_owned(),
+        urgency,
+        share_percent,
+        deadline_ms: DEADLINE_MS,
+        timeout_ms: TIMEOUT_MS,
+        max_waiting: MAX_WAITING,
+        idempotent: false,
+    };
+    let kinds = vec![
+        kind(PLAIN, Urgency::Normal, 40),
+        Kind { idempotent: true, ..kind(IDEMPOTENT, Urgency::High, 20) },
+        Kind { max_waiting: FLOOD_WAITING, ..kind(FLOOD, Urgency::Low, 20) },
+        Kind { timeout_ms: BRIEF_TIMEOUT_MS, ..kind(BRIEF, Urgency::Critical, 20) },
+    ];
+    Document {
+        service: SERVICE.to_owned(),
+        team: "desk".to_owned(),
+        upstream_path: "/run".to_owned(),
+        quota_per_s: 0,
+        max_milli_cpus: 16_000,
+        max_memory_mb: 64_000,
+        kinds,
+    }
+}
+
+/// How a change of the document went, as `kingcupctl apply` tells.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Applied {
+    /// Result code.
+    pub code: u16,
+    /// Revision that the change made, if it is known.
+    #[serde(default)]
+    pub revision: Option<u64>,
+    /// What was printed.
+    #[serde(default)]
+    pub message: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Status {
+    revisions: std::collections::BTreeMap<String, u64>,
+}
 
 /// An entry under the harness.
 #[derive(Debug)]
@@ -110,7 +175,6 @@
 }
 
 /// Running programs. Dropping it kills them.
-#[derive(Debug)]
 pub struct Cluster {
     /// What was started.
     pub plan: Plan,
@@ -120,6 +184,8 @@
     pub sidecars: Vec<Sidecar>,
     /// History so far.
     pub recorder: Arc<Recorder>,
+    /// The store stand-in.
+    pub store: Server,
     folder: PathBuf,
     agent: Agent,
     keep_folder: bool,
@@ -179,6 +245,7 @@
     for number in 0..cluster.plan.sidecars {
         cluster.spawn_sidecar(number)?;
     }
+    cluster.apply(&document(), "initial")?;
     cluster.wait_ready()?;
     Ok(cluster)
 }
@@ -189,6 +256,8 @@
     for number in 0..plan.entries {
         peers.push((format!("entry{number}"), port::find()?));
     }
+    let store = Server::open("127.0.0.1:0")
+        .map_err(|fault| Fault::Unexpected(format!("store stand-in: {fault}")))?;
     let mut entries = Vec::new();
     for (number, (name, internal)) in peers.iter().enumerate() {
         let settings = settings::Entry {
@@ -197,7 +266,7 @@
             internal: *internal,
             callers: port::find()?,
             admin: port::find()?,
-            store: None,
+            store: Some(store.address()),
             entries: peers.clone(),
             drain_delay_ms: plan.drain_delay_ms,
         };
@@ -208,7 +277,7 @@
         sidecars.push(prepare_sidecar(&plan, number, &peers, &folder)?);
     }
     let (recorder, agent) = (Arc::default(), http::agent(CALL));
-    Ok(Cluster { plan, entries, sidecars, recorder, folder, agent, keep_folder: false })
+    Ok(Cluster { plan, entries, sidecars, recorder, store, folder, agent, keep_folder: false })
 }
 
 fn prepare_sidecar(
@@ -420,6 +489,93 @@
         stop(&self.recorder, sidecar.program.take(), process, Some(upstream))
     }
 
+    /// Applies a document under a change ID with `kingcupctl`.
+    ///
+    /// # Errors
+    ///
+    /// If the tool cannot be run or prints no report.
+    pub fn apply(&self, document: &Document, change: &str) -> Result<Applied> {
+        let wrong = |what: String| Fault::Unexpected(format!("kingcupctl apply: {what}"));
+        let path = self.folder.join(format!("{change}.json"));
+        let text = serde_json::to_string(document).map_err(|error| wrong(error.to_string()))?;
+        fs::write(&path, text).map_err(|error| wrong(error.to_string()))?;
+        let mut command = std::process::Command::new(process::binary("kingcupctl")?);
+        command.args(["--json", "--author", "proof", "--timeout", "20", "--change-id", change]);
+        command.arg("--store").arg(self.store.url()).arg("apply").arg(path);
+        let output = command.output().map_err(|error| wrong(error.to_string()))?;
+        let applied: Applied = serde_json::from_slice(&output.stdout).map_err(|error| {
+            let errors = String::from_utf8_lossy(&output.stderr);
+            wrong(format!("{error}; {errors}"))
+        })?;
+        if let (0, Some(revision)) = (applied.code, applied.revision) {
+            let (service, change) = (document.service.clone(), change.to_owned());
+            self.recorder.add(Event::Accepted { at_us: now_us(), service, revision, change });
+        }
+        Ok(applied)
+    }
+
+    /// Has the store refuse or hang calls until `store_up`.
+    pub fn store_down(&self, mode: Mode) {
+        self.recorder.add(Event::StoreDown { at_us: now_us() });
+        self.store.control(&Control { mode: Some(mode), ..Control::default() });
+    }
+
+    /// Has the store answer again.
+    pub fn store_up(&self) {
+        self.store.control(&Control { mode: Some(Mode::Up), ..Control::default() });
+        self.recorder.add(Event::StoreUp { at_us: now_us() });
+    }
+
+    /// Asks all running processes which revision they have in effect; returns the lowest.
+    /// A process that does not answer counts as having none, but is not recorded.
+    pub fn observe(&self) -> u64 {
+        let entries = self.entries.iter().filter(|entry| entry.program.is_some());
+        let sidecars = self.sidecars.iter().filter(|sidecar| sidecar.program.is_some());
+        let entries = entries.map(|entry| (&entry.settings.name, entry.settings.admin));
+        let sidecars = sidecars.map(|sidecar| (&sidecar.settings.name, sidecar.settings.admin));
+        let revisions = entries.chain(sidecars).map(|(name, admin)| self.observe_at(name, admin));
+        revisions.min().unwrap_or(0)
+    }
+
+    fn observe_at(&self, name: &str, admin: SocketAddr) -> u64 {
+        let asked_us = now_us();
+        let Ok(reply) = http::get(&self.agent, admin, "/status") else { return 0 };
+        let Ok(status) = serde_json::from_slice::<Status>(&reply.body) else { return 0 };
+        let revision = status.revisions.get(SERVICE).copied().unwrap_or(0);
+        let (process, service) = (name.to_owned(), SERVICE.to_owned());
+        let at_us = now_us();
+        self.recorder.add(Event::Observed { asked_us, at_us, process, service, revision });
+        revision
+    }
+
+    /// Waits until all running processes have at least this revision in effect.
+    ///
+    /// # Errors
+    ///
+    /// `Timeout`.
+    pub fn wait_revision(&self, revision: u64) -> Result<()> {
+        let what = format!("revision {revision} everywhere");
+        until(&what, || (self.observe() >= revision).then_some(()))
+    }
+
+    /// Changes the behaviour of an upstream.
+    ///
+    /// # Errors
+    ///
+    /// If the stand-in does not take the change.
+    pub fn control_upstream(&self, number: usize, change: &upstream::Control) -> Result<()> {
+        let sidecar = &self.sidecars[number];
+        self.recorder.fault(format!("{}: {change:?}", sidecar.upstream_name));
+        let wrong = |what: String| Fault::Unexpected(format!("{}: {what}", sidecar.upstream_name));
+        let body = serde_json::to_vec(change).map_err(|error| wrong(error.to_string()))?;
+        let address = sidecar.settings.upstream;
+        match http::post(&self.agent, address, "/control", &[], &body) {
+            Ok(reply) if reply.status == 200 => Ok(()),
+            Ok(reply) => Err(wrong(format!("status {}", reply.status))),
+            Err(error) => Err(wrong(error.to_string())),
+        }
+    }
+
     /// Starts that an upstream has seen so far.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/proof/src/harness/crowd.rs
@@ -0,0 +1,198 @@
+//! Many callers at once, behind a stand-in for the platform's load balancer.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use fastrand::Rng;
+
+use super::{
+    caller::{Caller, Outcome, Target, Task},
+    cluster::{Cluster, IDEMPOTENT, PLAIN, SERVICE},
+    http,
+};
+use crate::history::Form;
+
+/// Interval of the load balancer's checks of readiness.
+const CHECK: Duration = Duration::from_millis(50);
+/// Longest wait for the answer to such a check; longer ones count as not ready.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Attempts at one piece of work before a caller gives up.
+const ATTEMPTS: usize = 4;
+/// Pause of a caller after a refusal or a failure.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Which entries are ready, as the load balancer sees it.
+#[derive(Debug)]
+struct Balancer {
+    targets: Vec<Target>,
+    admins: Vec<SocketAddr>,
+    ready: Vec<AtomicBool>,
+}
+
+impl Balancer {
+    fn choose(&self, rng: &mut Rng) -> &Target {
+        let from = rng.usize(..self.targets.len());
+        let order = (0..self.targets.len()).map(|step| (from + step) % self.targets.len());
+        let ready = order.clone().find(|number| self.ready[*number].load(Ordering::Relaxed));
+        &self.targets[ready.unwrap_or(from)]
+    }
+
+    fn check(&self, stop: &AtomicBool) {
+        let agent = http::agent(CHECK_TIMEOUT);
+        while !stop.load(Ordering::Relaxed) {
+            for (admin, ready) in self.admins.iter().zip(&self.ready) {
+                let reply = http::get(&agent, *admin, "/readyz");
+                ready.store(reply.is_ok_and(|reply| reply.status == 200), Ordering::Relaxed);
+            }
+            thread::park_timeout(CHECK);
+        }
+    }
+}
+
+/// What the callers do.
+#[derive(Debug, Clone)]
+pub struct Mix {
+    /// Number of callers.
+    pub callers: usize,
+    /// Most tasks of a job.
+    pub max_tasks: usize,
+    /// Longest run time of a task, in milliseconds.
+    pub max_sleep_ms: u64,
+    /// Callers submit again what was refused or lost.
+    pub retry: bool,
+}
+
+impl Default for Mix {
+    fn default() -> Self {
+        Self { callers: 8, max_tasks: 12, max_sleep_ms: 60, retry: true }
+    }
+}
+
+/// Running callers. Dropping it stops them.
+#[derive(Debug)]
+pub struct Crowd {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// Starts callers that submit work until the crowd is stopped.
+pub fn spawn(cluster: &Cluster, mix: &Mix) -> Crowd {
+    let stop = Arc::new(AtomicBool::new(false));
+    let targets = cluster.targets();
+    let ready = targets.iter().map(|_| AtomicBool::new(true)).collect();
+    let admins = cluster.entries.iter().map(|entry| entry.settings.admin).collect();
+    let balancer = Arc::new(Balancer { targets, admins, ready });
+    let mut threads = Vec::new();
+    let (shared, stopped) = (Arc::clone(&balancer), Arc::clone(&stop));
+    threads.push(thread::spawn(move || shared.check(&stopped)));
+    for number in 0..mix.callers {
+        let mut member = Member {
+            caller: Caller::new(Arc::clone(&cluster.recorder), SERVICE),
+            balancer: Arc::clone(&balancer),
+            rng: Rng::with_seed(cluster.plan.seed ^ (number as u64 + 1).wrapping_mul(0x9e37_79b9)),
+            mix: mix.clone(),
+            number,
+            made: 0,
+        };
+        let stopped = Arc::clone(&stop);
+        threads.push(thread::spawn(move || {
+            while !stopped.load(Ordering::Relaxed) {
+                member.act();
+            }
+        }));
+    }
+    Crowd { stop, threads }
+}
+
+impl Crowd {
+    /// Stops the callers and waits for the responses to what they sent.
+    pub fn stop(mut self) {
+        self.end();
+    }
+
+    fn end(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.end();
+    }
+}
+
+struct Member {
+    caller: Caller,
+    balancer: Arc<Balancer>,
+    rng: Rng,
+    mix: Mix,
+    number: usize,
+    made: u64,
+}
+
+impl Member {
+    fn act(&mut self) {
+        self.made += 1;
+        match self.rng.u32(..5) {
+            0 => self.request(Form::Request, PLAIN),
+            1 => self.request(Form::IdempotentRequest, IDEMPOTENT),
+            _ => self.job(),
+        }
+    }
+
+    fn sleep_ms(&mut self) -> u64 {
+        self.rng.u64(1..=self.mix.max_sleep_ms.max(1))
+    }
+
+    fn request(&mut self, form: Form, kind: &str) {
+        let marker = format!("caller{}-{}", self.number, self.made);
+        let task = Task::new(kind, marker, self.sleep_ms());
+        for _ in 0..ATTEMPTS {
+            let outcome = {
+                let target = self.balancer.choose(&mut self.rng);
+                self.caller.request(target, &task, form, None)
+            };
+            // A plain request that may have run is not sent again: it would be other work.
+            if outcome.is_complete() || !outcome.is_not_run() || !self.mix.retry {
+                break;
+            }
+            thread::park_timeout(PAUSE);
+        }
+    }
+
+    fn job(&mut self) {
+        if !self.caller.has_home() {
+            let target = self.balancer.choose(&mut self.rng).clone();
+            if self.caller.open_home(&target).is_err() {
+                thread::park_timeout(PAUSE);
+                return;
+            }
+        }
+        let tasks = self.rng.usize(1..=self.mix.max_tasks.max(1));
+        let sleep_ms = self.sleep_ms();
+        let job = self.caller.next_job(PLAIN, tasks, sleep_ms);
+        for attempt in 0..ATTEMPTS {
+            let target = self.balancer.choose(&mut self.rng).clone();
+            let outcome = self.caller.submit(&target, &job);
+            let again = matches!(outcome, Outcome::Broken) || outcome.is_not_run();
+            if !outcome.is_complete() && (!outcome.is_not_run() || attempt + 1 == ATTEMPTS) {
+                // The home may be gone; the next job gets a new one.
+                self.caller.close_home();
+            }
+            if !again || !self.mix.retry {
+                break;
+            }
+            thread::park_timeout(PAUSE);
+        }
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,5 @@
 //! Stand-ins for the platform's store and for upstreams, and a fault-injecting proxy.
 
-pub mod upstream;
-pub mod store;
 pub mod proxy;
 pub mod store;
+pub mod upstream;
