Let a sidecar advertise another address than its internal one

Entries dial the address that a sidecar announces. Without this key nothing can stand between the two, so silent and damaged connections could not be tested with the real programs.

--- a/crates/node/src/settings/sidecar.rs
+++ b/crates/node/src/settings/sidecar.rs
@@ -11,6 +11,9 @@
     pub process: Process,
     /// Internal address, UDP and TCP.
     pub internal: SocketAddr,
+    /// Address that entries are told to dial, if something stands before the internal address, such
+    /// as an address translation or a fault-injecting proxy.
+    pub advertise: Option<SocketAddr>,
     /// Operators' HTTP address: health, status, drain, metrics.
     pub admin: SocketAddr,
     /// Service whose upstream this sidecar fronts.
@@ -47,6 +50,7 @@
         let settings = Self {
             process: Process::read(s)?,
             internal: s.address("listen", "internal")?,
+            advertise: s.optional_address("listen", "advertise")?,
             admin: s.address("listen", "admin")?,
             service: s.name("upstream", "service")?,
             upstream: s.address("upstream", "address")?,
--- a/crates/node/src/settings/source.rs
+++ b/crates/node/src/settings/source.rs
@@ -152,6 +152,22 @@
         text.parse().map_err(|_| self.fault(section, key, "not an address", allowed))
     }
 
+    /// IP address and port, if they are given.
+    ///
+    /// # Errors
+    ///
+    /// A fault if it is not an address.
+    pub fn optional_address(
+        &mut self,
+        section: &str,
+        key: &str,
+    ) -> Result<Option<SocketAddr>, Fault> {
+        match self.find(section, key) {
+            Some(_) => self.address(section, key).map(Some),
+            None => Ok(None),
+        }
+    }
+
     /// Whole number within bounds, or the default if it is not given.
     ///
     /// # Errors
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -154,7 +154,7 @@
             return;
         }
         self.announced += 1;
-        let address = self.address.to_string();
+        let address = self.settings.advertise.unwrap_or(self.address).to_string();
         let frame = Frame::Announce(Announce {
             name: &self.settings.process.name,
             incarnation: self.gate.incarnation(),
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -54,6 +54,19 @@
     assert_eq!((settings.store.len(), settings.entries.len()), (2, 2));
     let settings = sidecar::Settings::read(Source::parse("sidecar.ini", SIDECAR).unwrap()).unwrap();
     assert_eq!((settings.slots, settings.connections), (8, 64));
+    assert_eq!(settings.advertise, None);
+}
+
+/// Guards against an advertised address that is ignored or taken as it is when it is wrong.
+#[test]
+fn advertised_address_is_read_and_checked() {
+    let with = |address: &str| {
+        SIDECAR.replace("[upstream]", &format!("advertise = {address}\n[upstream]"))
+    };
+    let source = Source::parse("sidecar.ini", &with("127.0.0.1:7301")).unwrap();
+    let settings = sidecar::Settings::read(source).unwrap();
+    assert_eq!(settings.advertise, Some("127.0.0.1:7301".parse().unwrap()));
+    assert!(sidecar_fault(&with("nowhere")).contains("[listen] advertise: not an address"));
 }
 
 #[rstest]
--- a/crates/tools/src/lib.rs
+++ b/crates/tools/src/lib.rs
@@ -1,6 +1,4 @@
 //! Command line for operators and teams, and the load tool.
 
-pub mod load;
-//! Placeholder.
-
 pub mod ctl;
+pub mod load;
