--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod id;
 pub mod job;
 pub mod key;
+pub mod member;
 pub mod rendezvous;
 pub mod route;
--- a/crates/dispatch/tests/key.rs
+++ b/crates/dispatch/tests/key.rs
@@ -193,6 +193,24 @@
     assert_eq!(b.submit(&job(&never, 0), Digest(1), 0), Verdict::Refused(Code::UnknownJob));
 }
 
+/// Guards against a copy of the final part making a second owner: another entry, or the successor
+/// itself after a restart, when jobs it has started since are forgotten.
+#[rstest]
+#[case::another_entry("c", 1)]
+#[case::the_restarted_successor("b", 2)]
+fn only_the_named_successor_adopts(#[case] entry: &str, #[case] incarnation: u64) {
+    let (mut a, mut b) = (ledger("a", 1), ledger("b", 1));
+    let job = job(&a.token(0), 1);
+    let mut parts = a.export(1_000, 0);
+    parts.extend(a.seal(successor("b", 1), parts.len() as u32, 0));
+    assert!(parts.iter().all(|part| b.import(part.clone(), 0).is_ok()));
+    assert_eq!(b.submit(&job, Digest(1), 0), Verdict::Fresh);
+    let mut other = ledger(entry, incarnation);
+    let last = parts.iter().map(|part| other.import(part.clone(), 0)).last().unwrap();
+    assert_eq!(last, Err(Fault::Misdirected));
+    assert_eq!(other.submit(&job, Digest(1), 0), Verdict::Refused(Code::HomeLost));
+}
+
 /// Guards against parts that exceed the size of a frame, and against losing keys in a handover.
 #[test]
 fn parts_keep_to_their_size_and_carry_keys() {
