--- a/crates/proof/tests/configuration.rs
+++ b/crates/proof/tests/configuration.rs
@@ -82,7 +82,8 @@
         };
         processes.push(process("kingcup-sidecar", &name, settings.admin, settings.text()));
     }
-    let folder = std::env::temp_dir().join(format!("kingcup-configuration-{}", entries[0].1.port()));
+    let folder =
+        std::env::temp_dir().join(format!("kingcup-configuration-{}", entries[0].1.port()));
     fs::create_dir_all(&folder).unwrap();
     let mut deployment = Deployment { store, processes, folder };
     for number in 0..deployment.processes.len() {
@@ -193,7 +194,8 @@
         let operate = |operator: usize| {
             let attempts = (0..ATTEMPTS).map(|attempt| operator * ATTEMPTS + attempt);
             let documents: Vec<PathBuf> = attempts.map(|one| deployment.document(one)).collect();
-            let outcomes = documents.iter().map(|one| deployment.ctl(&["apply", one.to_str().unwrap()]));
+            let outcomes =
+                documents.iter().map(|one| deployment.ctl(&["apply", one.to_str().unwrap()]));
             let (done, rest): (Vec<_>, Vec<_>) = outcomes.partition(|(exit, _)| *exit == 0);
             assert!(rest.iter().all(|(_, report)| report["code"] == 402), "{rest:?}");
             done.into_iter().map(|(_, report)| report["revision"].as_u64().unwrap()).collect()
