--- a/crates/node/src/entry/watcher.rs
+++ b/crates/node/src/entry/watcher.rs
@@ -8,7 +8,7 @@
         Arc,
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use stakker::{
@@ -99,11 +99,17 @@
     channel.send(Event::Listed(texts));
     let mut after = listing.revision;
     while wanted.load(Ordering::Relaxed) && !channel.is_closed() {
+        let opened = Instant::now();
         let mut watch = client.watch(SERVICES, after)?;
         for stored in watch.by_ref() {
             channel.send(Event::Changed(stored?.value));
         }
+        let idle = watch.revision() <= after;
         after = after.max(watch.revision());
+        if idle && opened.elapsed() < PAUSE {
+            // The other side ends watches at once; opening them without a wait would flood it.
+            thread::park_timeout(PAUSE);
+        }
     }
     Ok(())
 }
--- a/crates/node/src/store/client.rs
+++ b/crates/node/src/store/client.rs
@@ -3,7 +3,7 @@
 use std::{io, time::Duration};
 
 use serde::{de::DeserializeOwned, Serialize};
-use ureq::{http::Response, Agent, Body, Timeout};
+use ureq::{http::Response, typestate::WithBody, Agent, Body, RequestBuilder, Timeout};
 
 use super::{
     gateway::{
@@ -25,16 +25,17 @@
 pub struct Limits {
     /// To open a connection, in milliseconds.
     pub connect_ms: u64,
-    /// From the start of a call to the end of its answer, in milliseconds.
+    /// From the start of a call to the end of its answer, in milliseconds; for a watch to the start
+    /// of its answer. Well above the answer time of a store that is slow but works.
     pub call_ms: u64,
-    /// Life of a watch, in milliseconds. A watch is renewed well within the time in which a
+    /// Life of a watch from the start of its answer, in milliseconds. A watch is renewed well within the time in which a
     /// configuration must be in effect, because a silent connection cannot be told from a quiet one.
     pub watch_ms: u64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Self { connect_ms: 1_000, call_ms: 2_000, watch_ms: 3_000 }
+        Self { connect_ms: 1_000, call_ms: 5_000, watch_ms: 3_000 }
     }
 }
 
@@ -104,20 +105,18 @@
 
     fn send(
         &self,
-        path: &str,
+        call: RequestBuilder<WithBody>,
         request: &impl Serialize,
-        limit_ms: u64,
     ) -> Result<Response<Body>, Fault> {
         let body = serde_json::to_vec(request).map_err(|error| Fault::Rejected(shown(&error)))?;
-        let limit = Duration::from_millis(limit_ms);
-        let call = self.agent.post(format!("{}{path}", self.url)).config();
-        let call = call.timeout_global(Some(limit)).build();
         let call = call.header("Content-Type", "application/json");
         accept(call.send(&body[..]).map_err(|error| sort(&error))?)
     }
 
     fn call<T: DeserializeOwned>(&self, path: &str, request: &impl Serialize) -> Result<T, Fault> {
-        let mut response = self.send(path, request, self.limits.call_ms)?;
+        let limit = Duration::from_millis(self.limits.call_ms);
+        let call = self.agent.post(format!("{}{path}", self.url)).config();
+        let mut response = self.send(call.timeout_global(Some(limit)).build(), request)?;
         let body = response.body_mut().with_config().limit(ANSWER_BYTES).read_to_vec();
         let body = body.map_err(|error| Fault::Unanswered(shown(&error)))?;
         serde_json::from_slice(&body).map_err(|error| Fault::Unanswered(shown(&error)))
@@ -187,7 +186,11 @@
             start_revision: (after + 1).to_string(),
         };
         let request = WatchRequest { create_request };
-        let response = self.send("/v3/watch", &request, self.limits.watch_ms)?;
+        let answer = Duration::from_millis(self.limits.call_ms);
+        let life = Duration::from_millis(self.limits.watch_ms);
+        let call = self.agent.post(format!("{}/v3/watch", self.url)).config();
+        let call = call.timeout_recv_response(Some(answer)).timeout_recv_body(Some(life));
+        let response = self.send(call.build(), &request)?;
         Ok(Watch::new(response.into_body(), after))
     }
 }
--- a/crates/node/src/store/watch.rs
+++ b/crates/node/src/store/watch.rs
@@ -27,7 +27,7 @@
 
 fn is_end_of_life(error: &std::io::Error) -> bool {
     let inner = error.get_ref().and_then(|inner| inner.downcast_ref::<ureq::Error>());
-    matches!(inner, Some(ureq::Error::Timeout(Timeout::Global)))
+    matches!(inner, Some(ureq::Error::Timeout(Timeout::RecvBody)))
         || error.kind() == std::io::ErrorKind::TimedOut
 }
 
