Free connections that the HTTP library has queued behind a busy thread

Two connections that arrive before an idle thread of the library's pool has woken up are both queued for it, and the second waited until another connection ended: 1.5 s behind jobs of 1.5 s in a run of 16 callers. A short connection of the server's own makes the pool look at its queue.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -1,5 +1,7 @@
 //! HTTP for callers and operators: `tiny_http` on bounded threads around the event loop.
 
+mod nudge;
+
 use std::{
     io::{self, Read},
     net::SocketAddr,
@@ -145,15 +147,18 @@
     std::mem::forget(guard);
     let (writers, jobs) = sync_channel(WRITER_QUEUE);
     spawn_writers(jobs)?;
-    let intake = Intake { channel, writers, body_limit, refusal, reading: AtomicUsize::new(0) };
+    let address = server.server_addr().to_ip().unwrap_or(address);
+    let nudge = nudge::Nudge::spawn(address)?;
+    let reading = AtomicUsize::new(0);
+    let intake = Intake { channel, writers, body_limit, refusal, reading };
     let source = server.clone();
     let intake = Arc::new(intake);
     thread::Builder::new().name("http-intake".into()).spawn(move || {
         while let Ok(request) = source.recv() {
+            nudge.note();
             intake.clone().take(request);
         }
     })?;
-    let address = server.server_addr().to_ip().unwrap_or(address);
     Ok(Handle { server, address })
 }
 
--- /dev/null
+++ b/crates/node/src/http/nudge.rs
@@ -0,0 +1,73 @@
+//! Frees connections that `tiny_http` has queued behind a busy thread.
+//!
+//! Its pool queues a connection whenever a thread counts as idle. Two connections that arrive before
+//! that thread has woken up are both queued for it, and the second then waits until some connection
+//! ends, which with keep-alive may take minutes. A connection of our own that is closed at once makes
+//! the pool look at its queue again, with a new thread if none is idle. Each one frees one connection,
+//! whose request leads to the next.
+
+use std::{
+    io,
+    net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpStream},
+    sync::mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender},
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Time between two such connections while requests arrive on new connections.
+const SPACING: Duration = Duration::from_millis(2);
+/// Time between two such connections otherwise: a queued connection may not be preceded by a request.
+const INTERVAL: Duration = Duration::from_millis(50);
+/// Longest time to connect to the own port.
+const CONNECT: Duration = Duration::from_millis(100);
+
+/// Handle of the thread.
+#[derive(Debug, Clone)]
+pub struct Nudge {
+    wake: SyncSender<()>,
+}
+
+impl Nudge {
+    /// Starts the thread for a server that is bound to `address`.
+    ///
+    /// # Errors
+    ///
+    /// The error of starting the thread.
+    pub fn spawn(address: SocketAddr) -> io::Result<Self> {
+        let (wake, woken) = sync_channel(1);
+        let target = reachable(address);
+        thread::Builder::new().name("http-nudge".into()).spawn(move || run(target, &woken))?;
+        Ok(Self { wake })
+    }
+
+    /// Notes that a request has arrived; others may be queued behind it.
+    pub fn note(&self) {
+        // A full channel means that the thread is about to run anyway.
+        let _ = self.wake.try_send(());
+    }
+}
+
+fn run(target: SocketAddr, woken: &Receiver<()>) {
+    loop {
+        match woken.recv_timeout(INTERVAL) {
+            Ok(()) | Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        let started = Instant::now();
+        // A failure shows that the port takes no connections, and that none waits for long.
+        let _ = TcpStream::connect_timeout(&target, CONNECT);
+        if let Some(rest) = SPACING.checked_sub(started.elapsed()) {
+            thread::park_timeout(rest);
+        }
+    }
+}
+
+/// Address by which this process reaches its own port.
+fn reachable(address: SocketAddr) -> SocketAddr {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) if ip.is_unspecified() => IpAddr::V4(Ipv4Addr::LOCALHOST),
+        IpAddr::V6(ip) if ip.is_unspecified() => IpAddr::V6(Ipv6Addr::LOCALHOST),
+        ip => ip,
+    };
+    SocketAddr::new(ip, address.port())
+}
--- /dev/null
+++ b/crates/node/tests/http.rs
@@ -0,0 +1,81 @@
+//! Guards against faults between the callers' connections and the event loop.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    sync::{Arc, Barrier},
+    thread,
+    time::{Duration, Instant},
+};
+
+use kingcup_node::{
+    http::{self, Answer, Call},
+    reactor,
+};
+use stakker::{fwd_do, Stakker};
+
+/// Connections that are opened at the same moment.
+const BURST: usize = 48;
+/// Rounds of the burst.
+const ROUNDS: usize = 5;
+/// Longest time that a test waits, far above what is expected.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Runs the loop until `done` or until patience ends; true if done.
+fn run_until(stakker: &mut Stakker, poll: &stakker_mio::MioPoll, done: impl Fn() -> bool) -> bool {
+    let end = Instant::now() + PATIENCE;
+    while !done() {
+        if Instant::now() > end {
+            return false;
+        }
+        stakker.run(Instant::now(), false);
+        poll.poll(Duration::from_millis(5)).expect("poll");
+        stakker.run(Instant::now(), false);
+    }
+    true
+}
+
+fn open(address: SocketAddr, request: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(address).expect("connect");
+    stream.write_all(request.as_bytes()).expect("write");
+    stream.set_read_timeout(Some(PATIENCE)).expect("timeout");
+    stream
+}
+
+/// Guards against a connection that the HTTP library has accepted and that nobody reads until another
+/// connection ends: callers that arrive together would wait for each other's jobs.
+#[test]
+fn a_burst_of_connections_is_read_at_once() {
+    let (mut stakker, poll) = reactor::open().expect("loop");
+    let calls: std::rc::Rc<std::cell::RefCell<Vec<Call>>> = std::rc::Rc::default();
+    let taken = calls.clone();
+    let fwd = fwd_do!(move |call: Call| taken.borrow_mut().push(call));
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let refusal = |_| Answer::text(500, "");
+    let server = http::bind(&mut stakker, any, 1024, refusal, fwd).expect("bind");
+    for _ in 0..ROUNDS {
+        let request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        let address = server.address;
+        let together = Arc::new(Barrier::new(BURST));
+        let opening: Vec<_> = (0..BURST)
+            .map(|_| {
+                let together = together.clone();
+                thread::spawn(move || {
+                    together.wait();
+                    open(address, request)
+                })
+            })
+            .collect();
+        let opened: Vec<_> =
+            opening.into_iter().map(|thread| thread.join().expect("open")).collect();
+        assert!(run_until(&mut stakker, &poll, || calls.borrow().len() == BURST));
+        for call in calls.borrow_mut().drain(..) {
+            call.reply.send(Answer::text(200, "done"));
+        }
+        for mut stream in opened {
+            let mut head = [0; 12];
+            stream.read_exact(&mut head).expect("answer");
+            assert_eq!(&head, b"HTTP/1.1 200");
+        }
+    }
+}
