--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -12,13 +12,17 @@
 
 use std::sync::Arc;
 
+use slotmap::Key as _;
+
 use crate::{
     admission::{retry_ms, Demand, Verdict},
     code::{Code, Fate},
     document::{Document, JOB_TASKS},
     estimate::{Estimate, Rate},
     fair::{Class, Pick, Queue},
+    health::{self, Health},
     job::{self, Place},
+    retry::{Attempt, Budget},
     route::{Choice, Fleet, Flight, Load, State, Upstream},
 };
 
@@ -81,6 +85,10 @@
     queue: Queue,
     fleet: Fleet,
     jobs: job::Table,
+    health: Health<Upstream>,
+    /// Ejected upstreams, to which probes are sent.
+    ejected: Vec<Upstream>,
+    retries: Budget,
     sent: usize,
     /// When the first upstream was connected.
     member_us: Option<u64>,
@@ -105,6 +113,9 @@
             queue: Queue::default(),
             fleet,
             jobs: job::Table::default(),
+            health: Health::new(0),
+            ejected: Vec::new(),
+            retries: Budget::new(),
             sent: 0,
             member_us: None,
             actions: Vec::new(),
@@ -126,6 +137,11 @@
         &self.jobs
     }
 
+    /// Health of the upstreams.
+    pub fn health(&self) -> &Health<Upstream> {
+        &self.health
+    }
+
     /// Shares and use of the kinds.
     pub fn shares(&self) -> &Queue {
         &self.queue
@@ -226,6 +242,7 @@
         }
         self.member_us.get_or_insert(now_us);
         let upstream = self.fleet.add(name, zone, incarnation, slots);
+        self.health.add(upstream);
         self.load(upstream, load, now_us);
         upstream
     }
@@ -257,6 +274,9 @@
         let deadline_us = now_us + u64::from(kind.deadline_ms) * 1_000;
         let mut row = job::Row::new(class as u16, submission.payloads, now_us, deadline_us);
         row.retryable = submission.single && kind.idempotent;
+        if row.retryable {
+            self.retries.first(now_us);
+        }
         row.declared_us = submission.declared_ms.map(|ms| ms.saturating_mul(1_000));
         let waiting = u32::from(row.waiting);
         let key = self.jobs.add(row);
@@ -369,11 +389,52 @@
         }
         self.report(upstream, &finish.load, now_us);
         if let Some(flight) = flight {
-            self.end(&flight, finish.end, finish.body.clone(), now_us);
+            self.judge(upstream, flight.job, finish.end, now_us);
+            self.end(upstream, &flight, finish.end, finish.body.clone(), now_us);
         }
         self.pump(now_us);
     }
 
+    /// Counts for or against an upstream how a task ended there.
+    fn judge(&mut self, upstream: Upstream, job: job::Key, end: End, now_us: u64) {
+        let slots = self.fleet.get(upstream).map_or(0, |row| row.slots);
+        let job = job.data().as_ffi();
+        match end {
+            End::Done => {
+                self.health.succeeded(upstream, job, slots, now_us);
+            }
+            End::Failed(Code::TaskFailed) | End::Unknown(Code::UpstreamTimeout) => {
+                self.health.failed(upstream, job, now_us);
+            }
+            End::Failed(_) | End::Unknown(_) => return,
+        }
+        self.apply_health(upstream, now_us);
+    }
+
+    /// Lets routing follow an upstream's health.
+    fn apply_health(&mut self, upstream: Upstream, now_us: u64) {
+        let Some(row) = self.fleet.get(upstream) else {
+            return;
+        };
+        let (slots, state, allowance) = (row.slots, row.state, row.allowance);
+        let ejected = matches!(self.health.state(upstream), Some(health::State::Ejected { .. }));
+        let wanted = if ejected { State::Ejected } else { State::Open };
+        let may_change = matches!(state, State::Open | State::Ejected);
+        if may_change && state != wanted {
+            self.ejected.retain(|&other| other != upstream);
+            if ejected {
+                self.ejected.push(upstream);
+            }
+            self.fleet.set_state(upstream, wanted);
+        }
+        let permitted = self.health.allowance(upstream, slots, now_us);
+        // Health counts slots, the window also the gate's queue.
+        let permitted = if permitted >= slots { u16::MAX } else { permitted };
+        if permitted != allowance {
+            self.fleet.set_allowance(upstream, permitted);
+        }
+    }
+
     /// A start was refused; it was not run and will not be.
     pub fn refuse(
         &mut self,
@@ -408,7 +469,13 @@
                 Held::Finished => {
                     // The finish comes first; without it, only this much is known.
                     if let Some(flight) = self.land(upstream, report.sequence) {
-                        self.end(&flight, End::Unknown(Code::UpstreamLost), empty(), now_us);
+                        self.end(
+                            upstream,
+                            &flight,
+                            End::Unknown(Code::UpstreamLost),
+                            empty(),
+                            now_us,
+                        );
                     }
                 }
             }
@@ -447,8 +514,10 @@
         if row.incarnation != incarnation {
             self.abandon(upstream, now_us);
             self.fleet.set_incarnation(upstream, incarnation);
+            self.health.restarted(upstream);
         }
         self.fleet.set_state(upstream, State::Open);
+        self.apply_health(upstream, now_us);
         let sequences = self.recall_failed(upstream);
         self.pump(now_us);
         sequences
@@ -477,6 +546,8 @@
         self.abandon(upstream, now_us);
         self.fleet.discount(upstream, &mut self.queue.others);
         self.fleet.remove(upstream);
+        self.health.remove(upstream);
+        self.ejected.retain(|&other| other != upstream);
         self.pump(now_us);
     }
 
@@ -486,7 +557,7 @@
             row.map_or_else(Vec::new, |row| row.flights.iter().map(|f| f.sequence).collect());
         for sequence in sequences {
             if let Some(flight) = self.land(upstream, sequence) {
-                self.end(&flight, End::Unknown(Code::UpstreamLost), empty(), now_us);
+                self.end(upstream, &flight, End::Unknown(Code::UpstreamLost), empty(), now_us);
             }
         }
     }
@@ -515,6 +586,7 @@
                 self.fail(job, Code::Expired, None, empty());
             }
         }
+        self.health.tick(now_us);
         self.fleet.age(&mut self.queue.others, STALE_US, AGE_VISITS, now_us);
         self.pump(now_us);
     }
@@ -549,12 +621,15 @@
         }
     }
 
-    fn end(&mut self, flight: &Flight, end: End, body: Arc<[u8]>, _now_us: u64) {
+    fn end(&mut self, upstream: Upstream, flight: &Flight, end: End, body: Arc<[u8]>, now_us: u64) {
         let (fate, code) = match end {
             End::Done => (Fate::Complete, None),
             End::Failed(code) => (Fate::Failed, Some(code)),
             End::Unknown(code) => (Fate::MayHaveRun, Some(code)),
         };
+        if self.run_again(upstream, flight, code, now_us) {
+            return;
+        }
         let said = if code.is_some() { body.clone() } else { empty() };
         self.jobs.end(flight.job, flight.task, fate, body);
         match code {
@@ -563,6 +638,34 @@
         }
     }
 
+    /// Puts a single idempotent request that failed back among the waiting ones, within the budget.
+    fn run_again(
+        &mut self,
+        upstream: Upstream,
+        flight: &Flight,
+        code: Option<Code>,
+        now_us: u64,
+    ) -> bool {
+        let Some(row) = self.jobs.get_mut(flight.job).filter(|row| row.retryable) else {
+            return false;
+        };
+        self.retries.ended(code.is_none(), now_us);
+        let Some(code) = code else {
+            return false;
+        };
+        let attempt = Attempt { idempotent: true, retries: u32::from(row.reruns) };
+        if row.is_failing() || !self.retries.retry(attempt, code, now_us) {
+            return false;
+        }
+        row.reruns += 1;
+        row.avoid = Some(upstream);
+        row.ran |= code.fate() == Fate::Failed;
+        row.unknown |= code.fate() == Fate::MayHaveRun;
+        self.jobs.put_back(flight.job, flight.task);
+        self.add_waiting(usize::from(flight.class), 1, now_us);
+        true
+    }
+
     /// Fails a job whole: waiting tasks are given up and sent ones recalled.
     fn fail(&mut self, job: job::Key, code: Code, task: Option<u16>, body: Arc<[u8]>) {
         let Some(row) = self.jobs.get(job) else {
@@ -635,16 +738,25 @@
     /// Places waiting tasks while there is an upstream for the next one.
     fn pump(&mut self, now_us: u64) {
         while let Some(pick) = self.queue.next(self.fleet.slots()) {
-            let Some((choice, reason)) = self.choose(pick) else {
+            let Some((choice, reason)) = self.choose(pick, now_us) else {
                 return;
             };
             self.start(pick, &choice, reason, now_us);
         }
     }
 
-    fn choose(&mut self, pick: Pick) -> Option<(Choice, Reason)> {
+    fn choose(&mut self, pick: Pick, now_us: u64) -> Option<(Choice, Reason)> {
+        if let Some(choice) = self.probe(now_us) {
+            return Some((choice, Reason::Probe));
+        }
         let reason = if pick.within { Reason::Share } else { Reason::Lent };
-        if let Some(choice) = self.fleet.choose(!pick.within, &mut self.rng) {
+        let lent = !pick.within;
+        let first = self.jobs.first(pick.class).and_then(|job| self.jobs.get(job));
+        let choice = match first.and_then(|row| row.avoid) {
+            Some(upstream) => self.fleet.choose_other(upstream, lent, &mut self.rng),
+            None => self.fleet.choose(lent, &mut self.rng),
+        };
+        if let Some(choice) = choice {
             return Some((choice, reason));
         }
         // Without any start of its own, the entry would not learn of a free slot.
@@ -654,6 +766,12 @@
         self.fleet.choose_full(&mut self.rng).map(|choice| (choice, Reason::Ask))
     }
 
+    /// An ejected upstream whose probe is due.
+    fn probe(&self, now_us: u64) -> Option<Choice> {
+        let due = |upstream: &&Upstream| self.health.allowance(**upstream, 1, now_us) > 0;
+        self.ejected.iter().filter(due).find_map(|&upstream| self.fleet.probe(upstream))
+    }
+
     fn start(&mut self, pick: Pick, choice: &Choice, reason: Reason, now_us: u64) {
         let class = pick.class;
         let Some((job, task)) = self.take_waiting(class) else {
--- a/crates/dispatch/src/job.rs
+++ b/crates/dispatch/src/job.rs
@@ -78,6 +78,8 @@
     pub done: u16,
     /// Times that the request was run again.
     pub reruns: u8,
+    /// Upstream at which the request failed before.
+    pub avoid: Option<Upstream>,
     /// The response was given.
     pub answered: bool,
     /// Something ran for certain.
@@ -129,6 +131,7 @@
             sent: 0,
             done: 0,
             reruns: 0,
+            avoid: None,
             answered: false,
             ran: false,
             unknown: false,
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -81,6 +81,8 @@
     pub slots: u16,
     /// Starts that this entry may have outstanding.
     pub window: u16,
+    /// Starts that the upstream's health permits to be outstanding.
+    pub allowance: u16,
     /// Slots that lent work must leave free here.
     pub headroom: u8,
     /// Starts without outcome, ascending by sequence.
@@ -177,12 +179,13 @@
     /// Free slots, as far as this entry knows.
     pub fn free(&self) -> u8 {
         let own = self.flights.len();
-        if self.state != State::Open || own >= usize::from(self.window) {
+        let permitted = usize::from(self.window.min(self.allowance)).saturating_sub(own);
+        if self.state != State::Open {
             return 0;
         }
         let others: usize = self.others.iter().map(|&count| usize::from(count)).sum();
         let used = own + others + usize::from(self.others_unsorted);
-        usize::from(self.slots).saturating_sub(used).min(LEVELS - 1) as u8
+        usize::from(self.slots).saturating_sub(used).min(permitted).min(LEVELS - 1) as u8
     }
 
     /// All starts up to this sequence have their final outcome.
@@ -260,6 +263,7 @@
             state: State::Open,
             slots,
             window: slots,
+            allowance: u16::MAX,
             headroom: 0,
             flights: Vec::new(),
             sequence: 0,
@@ -299,6 +303,14 @@
         self.place(upstream);
     }
 
+    /// Changes how many starts the upstream's health permits to be outstanding.
+    pub fn set_allowance(&mut self, upstream: Upstream, allowance: u16) {
+        if let Some(row) = self.rows.get_mut(upstream) {
+            row.allowance = allowance;
+            self.place(upstream);
+        }
+    }
+
     /// Records a new incarnation of an upstream.
     pub fn set_incarnation(&mut self, upstream: Upstream, incarnation: u64) {
         if let Some(row) = self.rows.get_mut(upstream) {
@@ -337,6 +349,38 @@
         })
     }
 
+    /// As `choose`, but leaves out one upstream.
+    pub fn choose_other(
+        &mut self,
+        except: Upstream,
+        lent: bool,
+        rng: &mut fastrand::Rng,
+    ) -> Option<Choice> {
+        let Some(row) = self.rows.get(except) else {
+            return self.choose(lent, rng);
+        };
+        let allowance = row.allowance;
+        self.set_allowance(except, 0);
+        let choice = self.choose(lent, rng);
+        self.set_allowance(except, allowance);
+        choice
+    }
+
+    /// A choice of an ejected upstream, for a probe.
+    pub fn probe(&self, upstream: Upstream) -> Option<Choice> {
+        let row = self.rows.get(upstream)?;
+        let idle = row.state == State::Ejected && row.flights.is_empty();
+        let group = |index: usize| self.groups[index].top();
+        idle.then(|| Choice {
+            upstream,
+            free: 0,
+            local: row.local,
+            equals: 1,
+            best_local: group(0).max(group(2)),
+            best_remote: group(1).max(group(3)),
+        })
+    }
+
     /// Chooses any upstream that may get work although none is known to be free.
     pub fn choose_full(&self, rng: &mut fastrand::Rng) -> Option<Choice> {
         let first = rng.usize(..GROUPS);
