--- /dev/null
+++ b/crates/proof/src/bin/kingcup-soak.rs
@@ -0,0 +1,135 @@
+//! Long runs of the real programs under faults drawn from a seed.
+
+use std::{
+    collections::BTreeMap,
+    env,
+    error::Error,
+    process::ExitCode,
+    time::{Duration, Instant},
+};
+
+use fastrand::Rng;
+use getopts::Options;
+use kingcup_proof::{
+    check::Rule,
+    harness::{
+        chaos::{self, Fault},
+        cluster::{start, Cluster, Plan, Verdict},
+        crowd::{self, Mix},
+        Result,
+    },
+};
+
+/// Length of the whole unless told otherwise, in seconds.
+const SECONDS: u64 = 600;
+/// Pairs of faults in one run; then a new deployment is started.
+const PAIRS: usize = 6;
+/// Complete responses between two steps.
+const SOME: u64 = 40;
+
+#[derive(Debug, Default)]
+struct Figures {
+    runs: u64,
+    standstills: u64,
+    faults: BTreeMap<String, u64>,
+    attempts: u64,
+    complete: u64,
+    starts: u64,
+    doubles: u64,
+    losses: u64,
+    false_refusals: u64,
+    other: u64,
+    failed_seeds: Vec<u64>,
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("kingcup-soak: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> std::result::Result<bool, Box<dyn Error>> {
+    let mut options = Options::new();
+    options.optopt("", "seconds", "length of the whole (600)", "NUMBER");
+    options.optopt("", "seed", "seed of the first run (random); each run adds one", "NUMBER");
+    options.optopt("", "runs", "most runs", "NUMBER");
+    let usage = options.usage("Usage: kingcup-soak [options]");
+    let matches =
+        options.parse(env::args().skip(1)).map_err(|error| format!("{error}\n{usage}"))?;
+    let length = Duration::from_secs(matches.opt_get_default("seconds", SECONDS)?);
+    let first = matches.opt_get_default("seed", fastrand::u64(..))?;
+    let runs = matches.opt_get_default("runs", u64::MAX)?;
+    let end = Instant::now() + length;
+    let mut figures = Figures::default();
+    while Instant::now() < end && figures.runs < runs {
+        let seed = first.wrapping_add(figures.runs);
+        figures.runs += 1;
+        println!("run {} KINGCUP_SEED={seed}", figures.runs);
+        if let Err(fault) = one_run(seed, end, &mut figures) {
+            println!("run with seed {seed} came to a standstill: {fault}");
+            figures.standstills += 1;
+            figures.failed_seeds.push(seed);
+        }
+    }
+    println!("{figures:#?}");
+    Ok(figures.failed_seeds.is_empty())
+}
+
+fn one_run(seed: u64, end: Instant, figures: &mut Figures) -> Result<()> {
+    let plan = Plan { seed, entries: 3, sidecars: 4, zones: 3, proxies: true, ..Plan::default() };
+    let mut cluster = start(plan)?;
+    let crowd = crowd::spawn(&cluster, &Mix::default());
+    let outcome = faults(&mut cluster, seed, end, figures);
+    crowd.stop();
+    let idle = cluster.wait_idle();
+    let verdict = cluster.finish()?;
+    add(figures, &cluster, &verdict);
+    outcome.and(idle)
+}
+
+fn faults(cluster: &mut Cluster, seed: u64, end: Instant, figures: &mut Figures) -> Result<()> {
+    let mut rng = Rng::with_seed(seed);
+    cluster.recorder.wait_complete(SOME)?;
+    for _ in 0..PAIRS {
+        if Instant::now() > end {
+            break;
+        }
+        for _ in 0..2 {
+            let fault = Fault::draw(cluster, &mut rng);
+            let name = format!("{fault:?}");
+            let name = name.split('(').next().unwrap_or_default().to_owned();
+            *figures.faults.entry(name).or_default() += 1;
+            chaos::inject(cluster, &fault)?;
+        }
+        cluster.recorder.wait_complete(SOME)?;
+        chaos::repair(cluster)?;
+        cluster.recorder.wait_complete(SOME)?;
+    }
+    Ok(())
+}
+
+fn add(figures: &mut Figures, cluster: &Cluster, verdict: &Verdict) {
+    let tally = cluster.recorder.tally();
+    figures.attempts += tally.sent;
+    figures.complete += tally.complete;
+    figures.starts += verdict.starts as u64;
+    figures.losses += tally.unanswered;
+    figures.other += verdict.malformed.len() as u64;
+    for violation in &verdict.violations {
+        match violation.rule {
+            Rule::OneStart | Rule::OneRun => figures.doubles += 1,
+            Rule::TrueRefusal => figures.false_refusals += 1,
+            Rule::Whole | Rule::Own => figures.losses += 1,
+            _ => figures.other += 1,
+        }
+    }
+    let clean = verdict.violations.is_empty() && verdict.malformed.is_empty();
+    if !clean || tally.unanswered > 0 {
+        figures.failed_seeds.push(verdict.seed);
+    }
+}
--- a/crates/proof/src/harness/caller.rs
+++ b/crates/proof/src/harness/caller.rs
@@ -232,7 +232,8 @@
             Ok(reply) => reply,
             Err(error) => {
                 log(&format!("attempt {number} at {}: {error}", at.name));
-                self.recorder.broken(number);
+                let unanswered = matches!(error, ureq::Error::Timeout(_));
+                self.recorder.broken(number, unanswered);
                 return Outcome::Broken;
             }
         };
@@ -246,7 +247,7 @@
             let text = String::from_utf8_lossy(&reply.body);
             let status = reply.status;
             self.recorder.malformed(format!("attempt {number}: status {status}, body {text:?}"));
-            self.recorder.broken(number);
+            self.recorder.broken(number, false);
             return Outcome::Broken;
         };
         if body.fate != code.fate().to_string() || reply.status != code.status() {
--- a/crates/proof/src/harness/record.rs
+++ b/crates/proof/src/harness/record.rs
@@ -27,6 +27,8 @@
     pub failed: u64,
     /// Attempts without a whole response.
     pub broken: u64,
+    /// Those of the broken attempts for which the caller waited in vain.
+    pub unanswered: u64,
 }
 
 #[derive(Debug, Default)]
@@ -94,10 +96,11 @@
         self.changed.notify_all();
     }
 
-    /// Notes that an attempt got no whole response.
-    pub fn broken(&self, attempt: u64) {
+    /// Notes that an attempt got no whole response, and whether the caller waited in vain for it.
+    pub fn broken(&self, attempt: u64, unanswered: bool) {
         let mut state = self.lock();
         state.tally.broken += 1;
+        state.tally.unanswered += u64::from(unanswered);
         state.events.push(Event::Broken { at_us: now_us(), attempt });
         drop(state);
         self.changed.notify_all();
--- /dev/null
+++ b/crates/proof/tests/resubmit.rs
@@ -0,0 +1,151 @@
+//! Jobs that callers submit again.
+
+use std::thread;
+
+use kingcup_dispatch::code::{Code, Fate};
+use kingcup_proof::harness::{
+    cluster::{start, Cluster, Plan, PLAIN},
+    seed,
+};
+use rstest::rstest;
+
+const TASKS: usize = 20;
+
+fn cluster() -> Cluster {
+    start(Plan { seed: seed(), entries: 3, sidecars: 4, zones: 3, ..Plan::default() }).unwrap()
+}
+
+/// Guards against a resubmission, through any entry, that runs a finished job again instead of
+/// returning its response.
+#[test]
+fn finished_job_is_answered_from_its_record() {
+    let mut cluster = cluster();
+    let mut caller = cluster.caller();
+    caller.open_home(&cluster.target(0)).unwrap();
+    let job = caller.next_job(PLAIN, TASKS, 20);
+    for target in cluster.targets() {
+        assert!(caller.submit(&target, &job).is_complete(), "through {}", target.name);
+    }
+    let verdict = cluster.finish().unwrap();
+    verdict.assert_clean();
+    assert_eq!(verdict.starts, TASKS);
+}
+
+/// Guards against a second run of tasks when a job is resubmitted through the other entries while
+/// it runs.
+#[test]
+fn running_job_is_not_started_again() {
+    let mut cluster = cluster();
+    let mut caller = cluster.caller();
+    caller.open_home(&cluster.target(0)).unwrap();
+    let job = caller.next_job(PLAIN, TASKS, 500);
+    thread::scope(|scope| {
+        let (first, home) = (&caller, cluster.target(0));
+        let submitted = scope.spawn({
+            let job = &job;
+            move || first.submit(&home, job)
+        });
+        cluster.wait_starts(1).unwrap();
+        for number in 1..3 {
+            let (again, target, job) = (&caller, cluster.target(number), &job);
+            scope.spawn(move || {
+                let code = again.submit(&target, job).code();
+                let lawful = matches!(code, Some(Code::Complete | Code::InProgress));
+                assert!(lawful, "{code:?} through {}", target.name);
+            });
+        }
+        assert!(submitted.join().unwrap().is_complete());
+    });
+    let verdict = cluster.finish().unwrap();
+    verdict.assert_clean();
+    assert_eq!(verdict.starts, TASKS);
+}
+
+/// Guards against another entry that starts a job whose home was killed while the job ran, and
+/// against the claim that the job did not run.
+#[rstest]
+#[case::home_is_down(false)]
+#[case::home_has_a_new_incarnation(true)]
+fn job_of_a_lost_home_may_have_run(#[case] restart: bool) {
+    let mut cluster = cluster();
+    let mut caller = cluster.caller();
+    let home = cluster.target(0);
+    caller.open_home(&home).unwrap();
+    let job = caller.next_job(PLAIN, TASKS, 300);
+    thread::scope(|scope| {
+        let first = scope.spawn(|| caller.submit(&home, &job));
+        cluster.wait_starts(1).unwrap();
+        cluster.kill_entry(0);
+        assert_eq!(first.join().unwrap().code(), None);
+    });
+    if restart {
+        cluster.spawn_entry(0).unwrap();
+        cluster.wait_entry_ready(0).unwrap();
+    }
+    for number in (1..3).chain(restart.then_some(0)) {
+        let outcome = caller.submit(&cluster.target(number), &job);
+        let fate = outcome.code().map(Code::fate);
+        assert_eq!(fate, Some(Fate::MayHaveRun), "{outcome:?} through entry{number}");
+    }
+    cluster.wait_idle().unwrap();
+    cluster.finish().unwrap().assert_clean();
+}
+
+/// Guards against records that are lost when their home stops as planned.
+#[test]
+fn finished_job_is_answered_after_its_home_stopped() {
+    let mut cluster = cluster();
+    let mut caller = cluster.caller();
+    caller.open_home(&cluster.target(0)).unwrap();
+    let job = caller.next_job(PLAIN, TASKS, 20);
+    assert!(caller.submit(&cluster.target(0), &job).is_complete());
+    cluster.stop_entry(0).unwrap();
+    for number in 1..3 {
+        let outcome = caller.submit(&cluster.target(number), &job);
+        assert!(outcome.is_complete(), "{outcome:?} through entry{number}");
+    }
+    let verdict = cluster.finish().unwrap();
+    verdict.assert_clean();
+    assert_eq!(verdict.starts, TASKS);
+}
+
+/// Guards against records that are lost when the successor of a stopped home stops too.
+#[test]
+fn finished_job_is_answered_after_two_stops() {
+    let mut cluster = cluster();
+    let mut caller = cluster.caller();
+    caller.open_home(&cluster.target(0)).unwrap();
+    let job = caller.next_job(PLAIN, TASKS, 20);
+    assert!(caller.submit(&cluster.target(0), &job).is_complete());
+    cluster.stop_entry(0).unwrap();
+    cluster.stop_entry(1).unwrap();
+    let outcome = caller.submit(&cluster.target(2), &job);
+    assert!(outcome.is_complete(), "{outcome:?}");
+    let next = caller.next_job(PLAIN, TASKS, 20);
+    let outcome = caller.submit(&cluster.target(2), &next);
+    assert!(outcome.is_complete(), "new job under the token of the first home: {outcome:?}");
+    let verdict = cluster.finish().unwrap();
+    verdict.assert_clean();
+    assert_eq!(verdict.starts, 2 * TASKS);
+}
+
+/// Guards against a second run of a non-idempotent request under the same idempotency key, sent to
+/// several entries at once.
+#[test]
+fn request_with_a_key_runs_once() {
+    use kingcup_proof::{harness::caller::Task, history::Form};
+    let mut cluster = cluster();
+    for number in 0..10 {
+        let key = format!("key-{number}");
+        let task = Task::new(PLAIN, key.as_str(), 100);
+        thread::scope(|scope| {
+            for target in cluster.targets() {
+                let (caller, task, key) = (cluster.caller(), &task, &key);
+                scope.spawn(move || caller.request(&target, task, Form::Request, Some(key)));
+            }
+        });
+    }
+    let verdict = cluster.finish().unwrap();
+    verdict.assert_clean();
+    assert!(verdict.starts <= 10, "{} starts for 10 keys", verdict.starts);
+}
--- /dev/null
+++ b/crates/proof/tests/silent.rs
@@ -0,0 +1,82 @@
+//! Connections that fall silent while new ones work.
+
+use kingcup_proof::harness::{
+    cluster::{start, Cluster, Plan},
+    crowd::{self, Crowd, Mix},
+    seed,
+};
+use kingcup_standin::proxy::{Faults, Side};
+use rstest::rstest;
+
+/// Complete responses between two steps of a test.
+const SOME: u64 = 60;
+
+fn busy() -> (Cluster, Crowd) {
+    let plan = Plan { seed: seed(), entries: 2, sidecars: 3, proxies: true, ..Plan::default() };
+    let cluster = start(plan).unwrap();
+    for sidecar in &cluster.sidecars {
+        let accepted = sidecar.proxy.as_ref().unwrap().counts().accepted;
+        assert!(accepted >= 2, "the entries bypass the proxy of {}", sidecar.settings.name);
+    }
+    let crowd = crowd::spawn(&cluster, &Mix::default());
+    cluster.recorder.wait_complete(SOME).unwrap();
+    (cluster, crowd)
+}
+
+fn end(mut cluster: Cluster, crowd: Crowd) {
+    cluster.recorder.wait_complete(SOME).unwrap();
+    crowd.stop();
+    cluster.wait_idle().unwrap();
+    println!("{:?}", cluster.recorder.codes());
+    cluster.finish().unwrap().assert_clean();
+}
+
+/// Guards against work that hangs or is doubled when established connections fall silent for good.
+#[rstest]
+#[case::one_sidecar(1)]
+#[case::all_sidecars(3)]
+fn frozen_connections_are_replaced(#[case] count: usize) {
+    let (cluster, crowd) = busy();
+    let proxies = cluster.sidecars.iter().filter_map(|sidecar| sidecar.proxy.as_ref());
+    let before: Vec<_> = proxies.clone().map(|proxy| proxy.counts().accepted).collect();
+    for proxy in proxies.clone().take(count) {
+        cluster.recorder.fault("freeze connections");
+        assert!(proxy.freeze() > 0);
+    }
+    cluster.recorder.wait_complete(SOME).unwrap();
+    kingcup_proof::harness::until("new connections", || {
+        let mut pairs = proxies.clone().zip(&before).take(count);
+        pairs.all(|(proxy, before)| proxy.counts().accepted > *before).then_some(())
+    })
+    .unwrap();
+    // Nothing may be lost by a silence: what was in flight is found again by inquiry.
+    end(cluster, crowd);
+}
+
+/// Guards against loss in one direction that passes for a working connection.
+#[rstest]
+#[case::to_sidecar(Side::ToTarget)]
+#[case::to_entry(Side::ToClient)]
+fn one_way_loss_ends(#[case] side: Side) {
+    let (cluster, crowd) = busy();
+    let proxy = cluster.sidecars[0].proxy.as_ref().unwrap();
+    cluster.recorder.fault("one-way loss");
+    proxy.set_faults(Faults { one_way: Some(side), ..Faults::default() });
+    cluster.recorder.wait_complete(2 * SOME).unwrap();
+    proxy.set_faults(Faults::default());
+    end(cluster, crowd);
+}
+
+/// Guards against tasks that run twice or are denied after their connection was reset.
+#[test]
+fn cut_connections_are_replaced() {
+    let (cluster, crowd) = busy();
+    for _ in 0..5 {
+        for sidecar in &cluster.sidecars {
+            cluster.recorder.fault("cut connections");
+            sidecar.proxy.as_ref().unwrap().cut();
+        }
+        cluster.recorder.wait_complete(SOME / 3).unwrap();
+    }
+    end(cluster, crowd);
+}
