--- a/crates/node/src/sidecar/upstream.rs
+++ b/crates/node/src/sidecar/upstream.rs
@@ -22,8 +22,9 @@
 pub const ANSWER_BYTES: u64 = 1 << 20;
 /// Longest time to open a connection; the upstream runs beside the sidecar.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-/// Idle connections are closed after this time, before common upstreams close them.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Idle connections are closed after this time. Servers commonly keep them for 5 s or more; a call on
+/// a connection that the upstream closes at the same moment "may have run".
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// One task to run.
 #[derive(Debug)]
--- a/crates/standin/src/upstream/server.rs
+++ b/crates/standin/src/upstream/server.rs
@@ -28,8 +28,8 @@
 const HUNG: usize = 1024;
 /// Descriptors that are searched for connections.
 const DESCRIPTORS: i32 = 4096;
-/// Time after which a listener that was dropped is closed, in milliseconds.
-const CLOSE_MS: u64 = 5;
+/// Longest wait until a listener that was dropped is closed, in milliseconds.
+const CLOSE_MS: u64 = 1_000;
 /// Largest body, in bytes.
 const BODY_BYTES: u64 = 8 << 20;
 /// Interval between tries to listen again, in milliseconds.
@@ -37,6 +37,9 @@
 
 /// Interval of connections to the own port, in milliseconds; see `look_at_queue`.
 const OWN_CONNECTION_MS: u64 = 20;
+/// Interval of connections to the own port while requests arrive, in milliseconds. A request may be
+/// the first on its connection, with others queued that were opened with it.
+const SPACING_MS: u64 = 1;
 
 /// Why the stand-in could not start.
 #[derive(Debug, Display)]
@@ -55,8 +58,11 @@
     log: Log,
     running: usize,
     hung: Vec<Request>,
-    refused_until: Option<Instant>,
+    /// Time for which connections are to be refused, from the closing of the listener.
+    refuse_for: Option<Duration>,
     stopped: bool,
+    /// A request has arrived since the last connection to the own port.
+    asked: bool,
 }
 
 #[derive(Default)]
@@ -130,13 +136,18 @@
 /// connections is never: of 16 connections opened at once, 12 got no answer. A further connection
 /// makes the library look at its queue again.
 fn look_at_queue(address: SocketAddr, shared: &Shared) {
+    let step = Duration::from_millis(OWN_CONNECTION_MS);
     let mut state = shared.lock();
     while !state.stopped {
-        let step = Duration::from_millis(OWN_CONNECTION_MS);
+        state.asked = false;
         drop(state);
         let _ = TcpStream::connect_timeout(&address, step);
-        let waited = shared.changed.wait_timeout(shared.lock(), step);
-        state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        thread::sleep(Duration::from_millis(SPACING_MS));
+        state = shared.lock();
+        if !state.asked && !state.stopped {
+            let waited = shared.changed.wait_timeout(state, step);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
     }
 }
 
@@ -156,7 +167,7 @@
         if stopped {
             return;
         }
-        thread::sleep(Duration::from_millis(CLOSE_MS));
+        wait_until_closed(address);
         disconnect(address);
         shared.wait_while_refusing();
         http = loop {
@@ -182,6 +193,17 @@
     }
 }
 
+/// Waits until a dropped listener is closed, which its own threads do. A connection accepted before
+/// that would get neither an answer nor an end if it were missed by `disconnect`.
+fn wait_until_closed(address: SocketAddr) {
+    for _ in 0..CLOSE_MS {
+        if TcpStream::connect(address).is_err() {
+            return;
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// Shuts down the connections that were accepted on an address. `tiny_http` does not give access to
 /// them, so they are found among the process's descriptors by their local address.
 fn disconnect(address: SocketAddr) {
@@ -204,17 +226,19 @@
     /// Waits until the listener is to be closed; true if the stand-in is to stop.
     fn wait_for_change(&self) -> bool {
         let mut state = self.lock();
-        while !state.stopped && state.refused_until.is_none() {
+        while !state.stopped && state.refuse_for.is_none() {
             state = self.changed.wait(state).unwrap_or_else(PoisonError::into_inner);
         }
         state.stopped
     }
 
     fn wait_while_refusing(&self) {
+        let begun = Instant::now();
         let mut state = self.lock();
-        while let Some(until) = state.refused_until.filter(|_| !state.stopped) {
-            let Some(left) = until.checked_duration_since(Instant::now()) else {
-                state.refused_until = None;
+        while let Some(time) = state.refuse_for.filter(|_| !state.stopped) {
+            let Some(left) = time.checked_sub(begun.elapsed()).filter(|left| !left.is_zero())
+            else {
+                state.refuse_for = None;
                 return;
             };
             let waited = self.changed.wait_timeout(state, left);
@@ -233,7 +257,7 @@
             state.log.clear();
         }
         if let Some(ms) = control.refuse_ms {
-            state.refused_until = Some(now + Duration::from_millis(ms));
+            state.refuse_for = Some(Duration::from_millis(ms));
         }
         drop(state);
         self.changed.notify_all();
@@ -261,7 +285,7 @@
             _ => respond(request, 404, b""),
         }
         let state = self.lock();
-        !state.stopped && state.refused_until.is_none()
+        !state.stopped && state.refuse_for.is_none()
     }
 
     /// Runs a task.
@@ -275,6 +299,8 @@
                 return respond(request, 503, b"no connection free");
             }
             state.running += 1;
+            state.asked = true;
+            self.changed.notify_all();
             let place = state.log.start(job.clone(), task_index);
             (place, state.behaviour.hang, state.behaviour.slow)
         };
