--- a/crates/proof/src/harness/cluster.rs
+++ b/crates/proof/src/harness/cluster.rs
@@ -14,6 +14,7 @@
     store::{Control, Mode, Server},
     upstream,
 };
+use kingcup_tools::load::metrics;
 use serde::Deserialize;
 use ureq::Agent;
 
@@ -576,6 +577,18 @@
         }
     }
 
+    /// Messages between the processes so far, as the running entries count them.
+    ///
+    /// # Errors
+    ///
+    /// If an entry does not answer.
+    pub fn messages(&self) -> Result<f64> {
+        let running = self.entries.iter().filter(|entry| entry.program.is_some());
+        let admins: Vec<_> = running.map(|entry| entry.settings.admin).collect();
+        let reading = metrics::read_all(&admins);
+        Ok(reading.map_err(|fault| Fault::Unexpected(fault.to_string()))?.messages)
+    }
+
     /// Starts that an upstream has seen so far.
     ///
     /// # Errors
--- a/crates/tools/src/load/metrics.rs
+++ b/crates/tools/src/load/metrics.rs
@@ -6,15 +6,20 @@
 
 use super::Fault;
 
-/// Counter of messages that a daemon sent to other processes of the system, by type.
-pub const MESSAGES: &str = "kingcup_messages_sent_total";
+/// Entries' counter of messages with other processes of the system, by type and direction.
+pub const MESSAGES: &str = "kingcup_messages_total";
+/// Types that entries receive from sidecars. With all that entries send, these are all messages;
+/// other received ones were counted where another entry sent them. The few welcomes and
+/// acknowledgements of probes between entries count twice.
+const FROM_SIDECARS: [&str; 9] =
+    ["welcome", "finish", "refuse", "recalled", "fates", "probe_ack", "load", "announce", "fetch"];
 /// Longest wait for a daemon's metrics.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Sums over several daemons.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Reading {
-    /// Messages sent.
+    /// Messages between the processes of the system.
     pub messages: f64,
 }
 
@@ -27,7 +32,7 @@
     let mut reading = Reading::default();
     for admin in admins {
         let text = get(*admin, "/metrics")?;
-        reading.messages += sum(&text, MESSAGES);
+        reading.messages += messages(&text);
     }
     Ok(reading)
 }
@@ -45,8 +50,18 @@
     response.body_mut().with_config().limit(1 << 30).read_to_string().map_err(fault)
 }
 
-/// Sums all samples of a metric in Prometheus' text format, over all labels.
-pub fn sum(text: &str, name: &str) -> f64 {
+/// Messages that an entry sent, and those that it received from sidecars.
+pub fn messages(text: &str) -> f64 {
+    let counts = |labels: &str| {
+        let is = |label: &str, value: &str| labels.contains(&format!("{label}=\"{value}\""));
+        let from_sidecar = FROM_SIDECARS.iter().any(|name| is("type", name));
+        is("direction", "sent") || from_sidecar
+    };
+    sum(text, MESSAGES, counts)
+}
+
+/// Sums the samples of a metric in Prometheus' text format whose labels satisfy a condition.
+pub fn sum(text: &str, name: &str, counts: impl Fn(&str) -> bool) -> f64 {
     let samples = text.lines().filter(|line| !line.starts_with('#'));
     let values = samples.filter_map(|line| {
         let rest = line.strip_prefix(name)?;
@@ -54,11 +69,9 @@
         if !rest.starts_with(['{', ' ']) {
             return None;
         }
-        let value = match rest.rsplit_once('}') {
-            Some((_, value)) => value,
-            None => rest,
-        };
-        value.split_whitespace().next()?.parse::<f64>().ok()
+        let (labels, value) = rest.rsplit_once('}').unwrap_or(("", rest));
+        let value = value.split_whitespace().next()?.parse::<f64>().ok()?;
+        counts(labels).then_some(value)
     });
     values.sum()
 }
--- a/crates/tools/tests/load.rs
+++ b/crates/tools/tests/load.rs
@@ -106,7 +106,19 @@
     let text = "# HELP sent_total messages\n# TYPE sent_total counter\n\
                 sent_total{frame=\"start\",to=\"a}b\"} 5\nsent_total{frame=\"finish\"} 2.5 1700000\n\
                 sent_total 1\nsent_totals 100\nsent_total_bytes{x=\"y\"} 100\n";
-    assert!((metrics::sum(text, "sent_total") - 8.5).abs() < 1e-9);
+    assert!((metrics::sum(text, "sent_total", |_| true) - 8.5).abs() < 1e-9);
+}
+
+/// Guards against messages between entries that are counted on both sides, and against those from
+/// sidecars that are not counted at all.
+#[test]
+fn messages_are_counted_once() {
+    let text = "kingcup_messages_total{direction=\"sent\",type=\"start\"} 10\n\
+                kingcup_messages_total{direction=\"received\",type=\"finish\"} 9\n\
+                kingcup_messages_total{direction=\"sent\",type=\"forward\"} 4\n\
+                kingcup_messages_total{direction=\"received\",type=\"forward\"} 4\n\
+                kingcup_messages_total{direction=\"received\",type=\"digest\"} 7\n";
+    assert!((metrics::messages(text) - 23.0).abs() < 1e-9);
 }
 
 fn sample(arrival: usize, job: &str, response_us: u64, code: Option<Code>) -> Sample {
