--- a/crates/node/src/options.rs
+++ b/crates/node/src/options.rs
@@ -55,13 +55,15 @@
         return ExitCode::SUCCESS;
     }
     logs::open(name(&settings));
-    match run(settings, spawn) {
+    let code = match run(settings, spawn) {
         Ok(code) => code,
         Err(error) => {
             log::error!("event=failed error={error:?}");
             ExitCode::FAILURE
         }
-    }
+    };
+    logs::flush();
+    code
 }
 
 fn run<S, A: 'static>(
