--- a/crates/proof/tests/configuration.rs
+++ b/crates/proof/tests/configuration.rs
@@ -237,6 +237,16 @@
     assert_eq!(deployment.apply(3).0, 0);
 }
 
+/// Guards against time limits that turn a slow store into one that is down.
+#[test]
+fn a_slow_store_delays_a_change_but_does_not_stop_it() {
+    let deployment = start();
+    assert_eq!(deployment.apply(1).0, 0);
+    deployment.store.control(&Control { delay_ms: Some(2_500), ..Control::default() });
+    let (exit, report) = deployment.apply(2);
+    assert_eq!((exit, &report["revision"]), (0, &json!(2)), "{report}");
+}
+
 /// Guards against a deployment that stops following the store when both watching entries are gone.
 #[test]
 fn another_entry_watches_when_both_watchers_are_gone() {
