Hold submissions of a stopping home for its successor; tell first attempts from others; apply quotas

A submission under an ID or key that did not reach the place of its record is answered as not run only if the caller marked it as the first attempt: an earlier one may have run.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -14,6 +14,7 @@
 mod members;
 mod metrics;
 mod peers;
+mod quotas;
 mod records;
 mod services;
 mod sidecars;
@@ -79,6 +80,7 @@
     forwards: forward::Table,
     waves: waves::Table,
     deadlines: deadlines::Table,
+    quotas: quotas::Table,
     stop: stop::Stop,
     metrics: metrics::Metrics,
     watcher: watcher::Watcher,
@@ -88,6 +90,8 @@
     /// Number of digests that were sent.
     digests: u64,
     next_digest_us: u64,
+    /// Demand that digests report.
+    demand: Vec<quotas::Demand>,
     _signals: ChannelGuard,
 }
 
@@ -142,6 +146,7 @@
             forwards: forward::Table::default(),
             waves: waves::Table::default(),
             deadlines: deadlines::Table::default(),
+            quotas: quotas::Table::open(settings.entries.len()),
             stop: stop::Stop::default(),
             metrics,
             watcher,
@@ -149,6 +154,7 @@
             plain: 0,
             digests: 0,
             next_digest_us: now_us,
+            demand: Vec::new(),
             settings,
             _signals: signals,
         })
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -82,7 +82,7 @@
     }
 
     fn home(&mut self, call: Call, now_us: u64) {
-        if self.stop.refuses_new() {
+        if self.stop.has_exported() {
             let refusal = Refusal::of(Code::Closing);
             return self.refuse(Waiter::Caller(call.reply), "", &refusal);
         }
@@ -123,21 +123,14 @@
                 self.submit_home(waiter, name, claim, &call.body, single, now_us);
             }
             Home::Peer(peer) => {
-                let (job, key) = match name {
-                    Name::Job(job) => (job.to_string(), String::new()),
-                    Name::Key(key) => (String::new(), key),
-                    Name::Plain(_) => (String::new(), String::new()),
-                };
-                let ask = Ask { verb, job, key, first, body: call.body };
+                let ask = Ask::submission(&name, verb, first, call.body);
                 self.forward(peer, ask, waiter, now_us);
             }
             Home::Refused(code) => {
-                let label = match name {
-                    Name::Job(job) => job.to_string(),
-                    Name::Key(key) => key,
-                    Name::Plain(_) => String::new(),
-                };
-                self.refuse(waiter, &label, &Refusal::of(code));
+                let claim = Claim { first, peers: 0 };
+                let code = claim.truthful(&name, code);
+                let label = Ask::submission(&name, verb, first, Vec::new());
+                self.refuse(waiter, &label.job, &Refusal::of(code));
             }
         }
     }
--- a/crates/node/src/entry/documents.rs
+++ b/crates/node/src/entry/documents.rs
@@ -79,6 +79,7 @@
             return log::warn!("event=document_rejected service={service} reason=services");
         };
         log::info!("event=document_applied service={service} revision={revision} from={from}");
+        self.quotas.apply(&envelope.document, now_us);
         let engine = &mut self.services.get_mut(id).engine;
         engine.apply(&envelope.document, revision, now_us);
     }
--- a/crates/node/src/entry/forward.rs
+++ b/crates/node/src/entry/forward.rs
@@ -36,6 +36,28 @@
     pub body: Vec<u8>,
 }
 
+impl Ask {
+    /// What is passed on for a submission.
+    pub fn submission(name: &Name, verb: Verb, first: bool, body: Vec<u8>) -> Self {
+        let (job, key) = match name {
+            Name::Job(job) => (job.to_string(), String::new()),
+            Name::Key(key) => (String::new(), key.clone()),
+            Name::Plain(_) => (String::new(), String::new()),
+        };
+        Self { verb, job, key, first, body }
+    }
+
+    /// Code for a request that was not passed on, as for `Claim`. To show or cancel runs nothing.
+    pub fn truthful(&self, code: Code) -> Code {
+        let submits = matches!(self.verb, Verb::Submit | Verb::Request);
+        match (self.first, submits, self.key.is_empty()) {
+            (false, true, true) => Code::HomeLost,
+            (false, true, false) => Code::RecordExpired,
+            _ => code,
+        }
+    }
+}
+
 /// A call without answer.
 struct Pending {
     peer: Key,
@@ -85,7 +107,8 @@
     /// Passes a request on to a peer.
     pub(super) fn forward(&mut self, peer: Key, ask: Ask, waiter: Waiter, now_us: u64) {
         if self.forwards.rows.len() >= CALLS {
-            return self.refuse(waiter, &ask.job, &Refusal::of(Code::Overloaded));
+            let code = ask.truthful(Code::HomeUnreachable);
+            return self.refuse(waiter, &ask.job, &Refusal::of(code));
         }
         self.forwards.next += 1;
         let call = self.forwards.next;
@@ -150,7 +173,8 @@
         let late =
             |row: &Pending| row.sent.is_none() && now_us.saturating_sub(row.since_us) > UNSENT_US;
         for row in self.forwards.take(late) {
-            self.refuse(row.waiter, &row.ask.job, &Refusal::of(Code::HomeUnreachable));
+            let code = row.ask.truthful(Code::HomeUnreachable);
+            self.refuse(row.waiter, &row.ask.job, &Refusal::of(code));
         }
     }
 
@@ -166,12 +190,23 @@
         self.answer(row.waiter, Answer { retry_ms: forwarded.retry_ms, ..answer });
     }
 
-    /// Handles a request that a peer has passed on. It is answered here and not passed on again.
+    /// Handles a request that a peer has passed on. It is answered here, and passed on again only by an
+    /// entry that has handed its records over.
     pub(super) fn forward_arrived(&mut self, id: Id, forward: &Forward<'_>, now_us: u64) {
         let waiter = Waiter::Peer { link: id, call: forward.call };
         let Some(verb) = Verb::find(forward.verb) else {
             return self.refuse(waiter, forward.job, &Refusal::bad("unknown verb"));
         };
+        if let Some(successor) = self.stop.successor() {
+            let ask = Ask {
+                verb,
+                job: forward.job.to_owned(),
+                key: forward.key.to_owned(),
+                first: forward.first,
+                body: forward.body.to_vec(),
+            };
+            return self.forward(successor, ask, waiter, now_us);
+        }
         match (verb, name(forward)) {
             (Verb::Submit | Verb::Request, Ok(name)) => {
                 let claim = Claim { first: forward.first, peers: forward.peers };
--- a/crates/node/src/entry/members.rs
+++ b/crates/node/src/entry/members.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 
 use kingcup_dispatch::member::{Announcement, Contact, Event, Id, Member, Report, Role};
-use kingcup_wire::{Announce, AnnounceAck, Digest, Entry as EntryInfo, Frame};
+use kingcup_wire::{Announce, AnnounceAck, Digest, Entry as EntryInfo, Frame, Usage};
 use stakker::CX;
 use stakker_mio::Ready;
 
-use super::Entry;
+use super::{quotas::Demand, Entry};
 use crate::reactor;
 
 /// Interval of digests, in microseconds.
@@ -16,10 +16,12 @@
 const HEADER_BYTES: u32 = 28;
 /// Entries that an answer or digest mentions; the datagram holds no more at the longest names.
 const MENTIONS: usize = 4;
-/// Services that a digest reports; with more, successive digests report different ones.
-const REVISIONS: usize = 8;
-/// Adopted incarnations that a digest reports; as for services.
-const ADOPTED: usize = 4;
+/// Rows by which the lists of a digest move on when they do not fit as a whole.
+const TURN: usize = 5;
+/// Most bytes of a name and a number in a digest, besides the characters of the name.
+const ROW_BYTES: usize = 11;
+/// Bytes of a digest's lists, which leave room for the rest of the datagram.
+const LISTS_BYTES: usize = 750;
 
 fn contact(entry: &EntryInfo<'_>) -> Contact {
     Contact {
@@ -34,14 +36,20 @@
     EntryInfo { name: &contact.name, incarnation: contact.incarnation, address: &contact.address }
 }
 
-/// The rows that a digest reports; successive digests go through all of them.
-fn take_turn<T>(mut rows: Vec<T>, most: usize, turn: u64) -> Vec<T> {
-    if rows.len() > most {
-        let start = turn as usize * most % rows.len();
+/// Takes as many rows as fit the room, in bytes, and reduces it by them. If not all fit, successive
+/// digests go through all of them.
+fn fit<T>(mut rows: Vec<T>, bytes: impl Fn(&T) -> usize, room: &mut usize, turn: u64) -> Vec<T> {
+    if rows.iter().map(&bytes).sum::<usize>() > *room && !rows.is_empty() {
+        let start = turn as usize * TURN % rows.len();
         rows.rotate_left(start);
-        rows.truncate(most);
     }
-    rows
+    let mut taken = Vec::new();
+    for row in rows {
+        let Some(rest) = room.checked_sub(bytes(&row)) else { break };
+        *room = rest;
+        taken.push(row);
+    }
+    taken
 }
 
 impl Entry {
@@ -128,6 +136,9 @@
             self.documents.report(digest.from.name, service, *revision);
         }
         self.member_events(events, now_us);
+        let demand = |row: &Usage<'_>| Demand { team: row.team.to_owned(), asked: row.asked };
+        let demands: Vec<Demand> = digest.usage.iter().map(demand).collect();
+        self.quotas.reported(digest.from.name, &demands, now_us);
         if let Some(id) = self.members.find(Role::Entry, digest.from.name) {
             self.peer_place(id, now_us);
             self.peer_adopted(digest.from.name, &digest.adopted);
@@ -184,6 +195,7 @@
         self.member_events(events, now_us);
         if now_us >= self.next_digest_us {
             self.next_digest_us = now_us + DIGEST_US;
+            self.demand = self.quotas.publish(now_us);
             self.send_digests();
         }
     }
@@ -192,8 +204,13 @@
     pub(super) fn send_digests(&mut self) {
         self.digests += 1;
         let address = self.address.to_string();
-        let revisions = take_turn(self.documents.revisions(), REVISIONS, self.digests);
-        let adopted = take_turn(self.ledger.adopted().collect(), ADOPTED, self.digests);
+        let turn = self.digests;
+        let room = &mut { LISTS_BYTES };
+        let demand = fit(self.demand.clone(), |row| row.team.len() + ROW_BYTES, room, turn);
+        let named = |row: &(&str, u64)| row.0.len() + ROW_BYTES;
+        let adopted = fit(self.ledger.adopted().collect(), named, room, turn);
+        let revisions = fit(self.documents.revisions(), named, room, turn);
+        let usage = demand.iter().map(|row| Usage { team: &row.team, asked: row.asked }).collect();
         let entries: Vec<Contact> = self.members.mentions().take(MENTIONS).collect();
         let frame = Frame::Digest(Digest {
             from: EntryInfo {
@@ -204,7 +221,7 @@
             sequence: self.digests,
             closing: self.stop.is_closing(),
             revisions,
-            usage: Vec::new(),
+            usage,
             adopted,
             entries: entries.iter().map(info).collect(),
         });
--- a/crates/node/src/entry/peers.rs
+++ b/crates/node/src/entry/peers.rs
@@ -223,6 +223,7 @@
         let Some(key) = self.peers.find(name) else { return };
         log::warn!("event=peer_left peer={name}");
         self.documents.forget(name);
+        self.quotas.left(name, now_us);
         self.drop_peer(key, "left", now_us);
         if self.settings.entries.iter().any(|peer| peer.name == name) || self.forwards.any(key) {
             if let Some(row) = self.peers.get_mut(key) {
--- a/crates/node/src/entry/records.rs
+++ b/crates/node/src/entry/records.rs
@@ -27,6 +27,19 @@
     pub peers: u64,
 }
 
+impl Claim {
+    /// Code for a submission that has not reached the place of its record. Only the caller's word
+    /// that it is the first attempt makes "not run" true of the work.
+    pub fn truthful(&self, name: &Name, code: Code) -> Code {
+        let elsewhere = matches!(code, Code::HomeUnreachable | Code::PeersDiffer);
+        match name {
+            Name::Key(_) if elsewhere && !self.first => Code::RecordExpired,
+            Name::Job(_) if elsewhere && !self.first => Code::HomeLost,
+            _ => code,
+        }
+    }
+}
+
 /// Digest of a submission, by which a repetition is told from another submission of the same name.
 fn digest(body: &[u8], single: bool) -> Digest {
     let mut hasher = blake3::Hasher::new();
@@ -62,11 +75,30 @@
             }
             Name::Plain(_) => Verdict::Fresh,
         };
+        if self.stop.refuses_new() && self.is_new(&name, &verdict, now_us) {
+            return self.hold(waiter, name, claim.first, body, single, now_us);
+        }
         match verdict {
             Verdict::Fresh => self.start(waiter, name, label, &submission, now_us),
             Verdict::Running => self.attach(waiter, &name),
             Verdict::Finished(record) => self.answer(waiter, stored(&record)),
-            Verdict::Refused(code) => self.refuse(waiter, &label, &Refusal::of(code)),
+            Verdict::Refused(code) => {
+                let code = claim.truthful(&name, code);
+                self.refuse(waiter, &label, &Refusal::of(code));
+            }
+        }
+    }
+
+    /// True if nothing is known of a submission that arrives while the entry stops. One that the
+    /// ledger has just recorded as started is taken back.
+    fn is_new(&mut self, name: &Name, verdict: &Verdict, now_us: u64) -> bool {
+        match verdict {
+            Verdict::Fresh => {
+                self.record(name, Code::Closing, &[], now_us);
+                true
+            }
+            Verdict::Refused(code) => matches!(code, Code::Closing | Code::HomeLost),
+            Verdict::Running | Verdict::Finished(_) => false,
         }
     }
 
@@ -89,12 +121,7 @@
         submission: &Submission,
         now_us: u64,
     ) {
-        let admitted = if self.stop.refuses_new() {
-            Err((Refusal::of(Code::Closing), self.retry_ms()))
-        } else {
-            self.admit(submission, now_us)
-        };
-        match admitted {
+        match self.admit(submission, now_us) {
             Ok(place) => {
                 let kind: Arc<str> = submission.kind.as_str().into();
                 let deadline_us = submission.deadline_ms.map(|ms| now_us + u64::from(ms) * 1_000);
@@ -135,6 +162,11 @@
             let retry_ms = if code == Code::NoDocument { self.retry_ms() } else { 0 };
             return Err((Refusal::of(code), retry_ms));
         };
+        let tasks = submission.payloads.len() as u32;
+        if let Err(retry_ms) = self.quotas.admit(&submission.service, tasks, now_us) {
+            let jitter_ms = self.rng.u32(0..=retry_ms / 4);
+            return Err((Refusal::of(Code::QuotaExceeded), retry_ms + jitter_ms));
+        }
         let request = engine::Submission {
             kind: &submission.kind,
             single: submission.single,
@@ -146,7 +178,10 @@
         let engine = &mut self.services.get_mut(service).engine;
         match engine.submit(&request, now_us) {
             Ok(job) => Ok(Place { service, job }),
-            Err(refusal) => Err((Refusal::of(refusal.code), refusal.retry_ms)),
+            Err(refusal) => {
+                self.quotas.refund(&submission.service, tasks);
+                Err((Refusal::of(refusal.code), refusal.retry_ms))
+            }
         }
     }
 
--- a/crates/node/src/entry/stop.rs
+++ b/crates/node/src/entry/stop.rs
@@ -4,10 +4,13 @@
 use stakker::{stop, CX};
 
 use super::{
-    api::{self},
+    api::{self, Refusal},
+    callers::Verb,
+    forward::Ask,
     handover::Handover,
     peers,
-    services::Place,
+    services::{Name, Place},
+    waiter::Waiter,
     Entry,
 };
 use crate::http::Answer;
@@ -19,8 +22,22 @@
 /// Longest time for the handover of records, in microseconds.
 pub const HANDOVER_US: u64 = 5_000_000;
 /// Time between the last answer and the exit, in microseconds: the writers' threads send what they
-/// have, and peers hear who has the records.
-const LINGER_US: u64 = 300_000;
+/// have, and peers hear from a digest of the successor who has the records.
+const LINGER_US: u64 = 1_200_000;
+
+/// Longest time that a submission waits for the successor, in microseconds.
+const HELD_US: u64 = 5_000_000;
+/// Submissions that wait for the successor.
+const HELD: usize = 1_024;
+/// Longest time that the exit waits for answers of the successor, in microseconds.
+const ANSWERS_US: u64 = 10_000_000;
+
+/// A submission that waits for the successor.
+struct Held {
+    waiter: Waiter,
+    ask: Ask,
+    until_us: u64,
+}
 
 /// How far the shutdown is.
 #[derive(Debug, Default)]
@@ -40,12 +57,13 @@
 }
 
 /// The state of the shutdown.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Stop {
     phase: Phase,
     /// When the wait for work in flight ends, in microseconds.
     until_us: u64,
     successor: Option<peers::Key>,
+    held: Vec<Held>,
     /// The store answered the last call.
     pub store_up: bool,
 }
@@ -61,6 +79,11 @@
         !matches!(self.phase, Phase::Running | Phase::Delaying(_))
     }
 
+    /// True once the records are on their way to a successor.
+    pub fn has_exported(&self) -> bool {
+        matches!(self.phase, Phase::Handing(_) | Phase::Lingering(_))
+    }
+
     /// Peer that owns the records after the handover.
     pub fn successor(&self) -> Option<peers::Key> {
         self.successor
@@ -102,12 +125,49 @@
                 self.begin_handover(now_us);
             }
             Phase::Handing(_) => self.tick_handover(now_us),
-            Phase::Lingering(until_us) if now_us >= *until_us => {
+            Phase::Lingering(until_us) if self.may_exit(*until_us, now_us) => {
                 log::info!("event=stopped");
                 stop!(cx);
             }
             _ => {}
         }
+        self.refuse_held(now_us);
+    }
+
+    fn may_exit(&self, until_us: u64, now_us: u64) -> bool {
+        let answered = self.forwards.is_empty() || now_us >= until_us + ANSWERS_US;
+        now_us >= until_us && answered
+    }
+
+    /// Keeps a submission that arrives while the entry stops, and passes it to the successor.
+    pub(super) fn hold(
+        &mut self,
+        waiter: Waiter,
+        name: Name,
+        first: bool,
+        body: &[u8],
+        single: bool,
+        now_us: u64,
+    ) {
+        let verb = if single { Verb::Request } else { Verb::Submit };
+        let ask = Ask::submission(&name, verb, first, body.to_vec());
+        if let Some(successor) = self.stop.successor() {
+            return self.forward(successor, ask, waiter, now_us);
+        }
+        let lingering = matches!(self.stop.phase, Phase::Lingering(_));
+        let plain = matches!(name, Name::Plain(_));
+        if plain || lingering || self.stop.held.len() >= HELD {
+            return self.refuse(waiter, &ask.job, &Refusal::of(Code::Closing));
+        }
+        self.stop.held.push(Held { waiter, ask, until_us: now_us + HELD_US });
+    }
+
+    /// Refuses held submissions that have waited too long. They were not run.
+    fn refuse_held(&mut self, now_us: u64) {
+        while let Some(at) = self.stop.held.iter().position(|held| now_us >= held.until_us) {
+            let held = self.stop.held.remove(at);
+            self.refuse(held.waiter, &held.ask.job, &Refusal::of(Code::Closing));
+        }
     }
 
     fn is_idle(&self) -> bool {
@@ -153,5 +213,11 @@
     pub(super) fn end_handover(&mut self, successor: Option<peers::Key>, now_us: u64) {
         self.stop.successor = successor;
         self.stop.phase = Phase::Lingering(now_us + LINGER_US);
+        for held in std::mem::take(&mut self.stop.held) {
+            match successor {
+                Some(peer) => self.forward(peer, held.ask, held.waiter, now_us),
+                None => self.refuse(held.waiter, &held.ask.job, &Refusal::of(Code::Closing)),
+            }
+        }
     }
 }
