--- /dev/null
+++ b/crates/proof/src/bin/kingcup-capacity.rs
@@ -0,0 +1,170 @@
+//! Cost of each role by number of sidecars and by starts a second, with real processes.
+
+use std::{
+    env,
+    error::Error,
+    fs,
+    process::ExitCode,
+    thread,
+    time::{Duration, Instant},
+};
+
+use getopts::Options;
+use kingcup_proof::harness::{
+    cluster::{start, Cluster, Plan},
+    crowd::{self, Mix},
+    http,
+    process::Program,
+    Result,
+};
+
+/// Sidecars of each run unless told otherwise.
+const SIDECARS: &str = "10,50,200";
+/// Length of each sample unless told otherwise, in seconds.
+const SECONDS: u64 = 20;
+/// Time for membership to settle before a sample, in seconds.
+const SETTLE: u64 = 5;
+/// Processor time is counted in these by the kernel, in a second.
+const TICKS_PER_SECOND: f64 = 100.0;
+/// Longest wait for a scrape.
+const SCRAPE: Duration = Duration::from_secs(10);
+
+/// What a process has used so far.
+#[derive(Debug, Clone, Copy, Default)]
+struct Usage {
+    cpu_s: f64,
+    resident_kb: f64,
+    threads: f64,
+    control_bytes: f64,
+}
+
+/// Mean use of the processes of a role during a sample.
+#[derive(Debug)]
+struct Row {
+    role: &'static str,
+    cpu_percent: f64,
+    resident_mb: f64,
+    threads: f64,
+    control_kb_per_s: f64,
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("kingcup-capacity: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> std::result::Result<(), Box<dyn Error>> {
+    let mut options = Options::new();
+    options.optopt("", "sidecars", "numbers of sidecars (10,50,200)", "LIST");
+    options.optopt("", "seconds", "length of each sample (20)", "NUMBER");
+    options.optopt("", "callers", "callers in the loaded sample; 0 for none (16)", "NUMBER");
+    let usage = options.usage("Usage: kingcup-capacity [options]");
+    let matches =
+        options.parse(env::args().skip(1)).map_err(|error| format!("{error}\n{usage}"))?;
+    let list = matches.opt_str("sidecars").unwrap_or_else(|| SIDECARS.to_owned());
+    let length = Duration::from_secs(matches.opt_get_default("seconds", SECONDS)?);
+    let callers = matches.opt_get_default("callers", 16)?;
+    println!("sidecars  load  starts/s  role     cpu %  resident MB  threads  control KB/s");
+    for sidecars in list.split(',') {
+        let plan = Plan { entries: 3, sidecars: sidecars.parse()?, zones: 3, ..Plan::default() };
+        let mut cluster = start(plan)?;
+        thread::park_timeout(Duration::from_secs(SETTLE));
+        sample(&cluster, "idle", length)?;
+        if callers > 0 {
+            let mix = Mix { callers, max_tasks: 110, max_sleep_ms: 5, retry: true };
+            let crowd = crowd::spawn(&cluster, &mix);
+            thread::park_timeout(Duration::from_secs(SETTLE));
+            sample(&cluster, "busy", length)?;
+            crowd.stop();
+        }
+        cluster.finish()?;
+    }
+    Ok(())
+}
+
+fn sample(cluster: &Cluster, load: &str, length: Duration) -> Result<()> {
+    let (before, starts) = (usages(cluster)?, cluster.count_starts()?);
+    let begun = Instant::now();
+    thread::park_timeout(length);
+    let seconds = begun.elapsed().as_secs_f64();
+    let (after, ended) = (usages(cluster)?, cluster.count_starts()?);
+    let rate = (ended - starts) as f64 / seconds;
+    for (role, from, to) in [("entry", &before.0, &after.0), ("sidecar", &before.1, &after.1)] {
+        let row = mean(role, from, to, seconds);
+        println!(
+            "{:>8}  {load}  {rate:>8.0}  {:<7} {:>6.2}  {:>11.1}  {:>7.0}  {:>12.3}",
+            cluster.sidecars.len(),
+            row.role,
+            row.cpu_percent,
+            row.resident_mb,
+            row.threads,
+            row.control_kb_per_s
+        );
+    }
+    Ok(())
+}
+
+fn mean(role: &'static str, before: &[Usage], after: &[Usage], seconds: f64) -> Row {
+    let count = after.len().max(1) as f64;
+    let rise = |of: fn(&Usage) -> f64| {
+        let total = |usages: &[Usage]| usages.iter().map(of).sum::<f64>();
+        (total(after) - total(before)) / count / seconds
+    };
+    let level = |of: fn(&Usage) -> f64| after.iter().map(of).sum::<f64>() / count;
+    Row {
+        role,
+        cpu_percent: rise(|usage| usage.cpu_s) * 100.0,
+        resident_mb: level(|usage| usage.resident_kb) / 1_024.0,
+        threads: level(|usage| usage.threads),
+        control_kb_per_s: rise(|usage| usage.control_bytes) / 1_000.0,
+    }
+}
+
+fn usages(cluster: &Cluster) -> Result<(Vec<Usage>, Vec<Usage>)> {
+    let agent = http::agent(SCRAPE);
+    let usage = |program: &Option<Program>, admin| {
+        let mut usage = program.as_ref().map(used).unwrap_or_default();
+        let reply = http::get(&agent, admin, "/metrics");
+        usage.control_bytes = reply.map(|reply| control_bytes(&reply.body)).unwrap_or_default();
+        usage
+    };
+    let entries = cluster.entries.iter();
+    let sidecars = cluster.sidecars.iter();
+    Ok((
+        entries.map(|entry| usage(&entry.program, entry.settings.admin)).collect(),
+        sidecars.map(|sidecar| usage(&sidecar.program, sidecar.settings.admin)).collect(),
+    ))
+}
+
+/// Sum of the samples of control bytes, sent and received.
+fn control_bytes(metrics: &[u8]) -> f64 {
+    String::from_utf8_lossy(metrics)
+        .lines()
+        .filter(|line| line.starts_with("kingcup_control_bytes"))
+        .filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum()
+}
+
+fn used(program: &Program) -> Usage {
+    let folder = format!("/proc/{}", program.pid());
+    let stat = fs::read_to_string(format!("{folder}/stat")).unwrap_or_default();
+    // The name in parentheses may hold spaces; user and system time are fields 14 and 15.
+    let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
+    let ticks = |at: usize| fields.get(at).and_then(|text| text.parse::<f64>().ok());
+    let status = fs::read_to_string(format!("{folder}/status")).unwrap_or_default();
+    let value = |key: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(key))?;
+        line.split_whitespace().next()?.parse::<f64>().ok()
+    };
+    Usage {
+        cpu_s: (ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / TICKS_PER_SECOND,
+        resident_kb: value("VmRSS:").unwrap_or(0.0),
+        threads: value("Threads:").unwrap_or(0.0),
+        control_bytes: 0.0,
+    }
+}
