--- a/crates/node/src/entry/metrics.rs
+++ b/crates/node/src/entry/metrics.rs
@@ -1,17 +1,15 @@
 //! Metrics by `opentelemetry`, in the text form of Prometheus.
-//!
-//! Messages are counted in plain numbers on the hot path and added to their counters at a scrape.
 
-use std::{mem, sync::Arc};
+use std::sync::Arc;
 
 use kingcup_dispatch::code::Code;
 use kingcup_wire::Frame;
 use opentelemetry::{
-    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider as _},
+    metrics::{Counter, Gauge, Histogram, Meter},
     KeyValue,
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+
+use crate::metrics::{control_bytes, messages, Exporter, Tally, Total};
 
 /// Bounds of the histograms of time, in seconds.
 const BOUNDS_S: [f64; 14] =
@@ -19,59 +17,6 @@
 /// Microseconds in a second.
 const SECOND_US: f64 = 1_000_000.0;
 
-/// Names of the message types, in the order of `index`.
-const TYPES: [&str; 22] = [
-    "hello",
-    "welcome",
-    "start",
-    "finish",
-    "refuse",
-    "recall",
-    "recalled",
-    "inquire",
-    "fates",
-    "probe",
-    "probe_ack",
-    "load",
-    "closing",
-    "fetch",
-    "document",
-    "forward",
-    "forwarded",
-    "handover",
-    "handover_ack",
-    "announce",
-    "announce_ack",
-    "digest",
-];
-
-fn index(frame: &Frame<'_>) -> usize {
-    match frame {
-        Frame::Hello(_) => 0,
-        Frame::Welcome(_) => 1,
-        Frame::Start(_) => 2,
-        Frame::Finish(_) => 3,
-        Frame::Refuse(_) => 4,
-        Frame::Recall(_) => 5,
-        Frame::Recalled(_) => 6,
-        Frame::Inquire(_) => 7,
-        Frame::Fates(_) => 8,
-        Frame::Probe(_) => 9,
-        Frame::ProbeAck(_) => 10,
-        Frame::Load(_) => 11,
-        Frame::Closing => 12,
-        Frame::Fetch(_) => 13,
-        Frame::Document(_) => 14,
-        Frame::Forward(_) => 15,
-        Frame::Forwarded(_) => 16,
-        Frame::Handover(_) => 17,
-        Frame::HandoverAck(_) => 18,
-        Frame::Announce(_) => 19,
-        Frame::AnnounceAck(_) => 20,
-        Frame::Digest(_) => 21,
-    }
-}
-
 /// A value that is read at a scrape.
 #[derive(Debug, Clone)]
 pub struct Sample {
@@ -100,27 +45,9 @@
     pub rejected: u64,
 }
 
-#[derive(Debug, Default)]
-struct Tally {
-    sent: [u64; TYPES.len()],
-    received: [u64; TYPES.len()],
-}
-
-/// Last value that was added to a counter whose source keeps a total.
-#[derive(Debug, Default)]
-struct Total(u64);
-
-impl Total {
-    fn rise(&mut self, total: u64) -> u64 {
-        let before = mem::replace(&mut self.0, total);
-        total.saturating_sub(before)
-    }
-}
-
 /// The entry's metrics.
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exporter: Exporter,
     accepted: Counter<u64>,
     refused: Counter<u64>,
     answered: Counter<u64>,
@@ -155,14 +82,8 @@
     ///
     /// The error of the exporter.
     pub fn open() -> std::io::Result<Self> {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .without_target_info()
-            .build()
-            .map_err(std::io::Error::other)?;
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter("kingcup");
+        let exporter = Exporter::open()?;
+        let meter = exporter.meter();
         let counter = |name, about| meter.u64_counter(name).with_description(about).build();
         let gauge = |name, about| meter.u64_gauge(name).with_description(about).build();
         Ok(Self {
@@ -171,15 +92,14 @@
             answered: counter("kingcup_answered", "Jobs and requests answered, by code"),
             response_s: seconds(&meter, "kingcup_response", "From acceptance to the answer"),
             queue_s: seconds(&meter, "kingcup_queue", "From acceptance to the first start"),
-            messages: counter("kingcup_messages", "Messages between the system's processes"),
-            control_bytes: counter("kingcup_control_bytes", "Bytes of datagrams"),
+            messages: messages(&meter),
+            control_bytes: control_bytes(&meter),
             rejected: counter("kingcup_datagrams_rejected", "Damaged or foreign datagrams"),
             tables: gauge("kingcup_table_size", "Rows or bytes of each table"),
             running: gauge("kingcup_running", "Tasks of this entry without outcome"),
             waiting: gauge("kingcup_waiting", "Tasks that wait at this entry"),
             revisions: gauge("kingcup_revision", "Revision of the document in force"),
-            registry,
-            _provider: provider,
+            exporter,
             tally: Tally::default(),
             sent_bytes: Total::default(),
             received_bytes: Total::default(),
@@ -212,37 +132,23 @@
 
     /// Counts a message that was sent.
     pub fn sent(&mut self, frame: &Frame<'_>) {
-        self.tally.sent[index(frame)] += 1;
+        self.tally.sent(frame);
     }
 
     /// Counts a message that was received.
     pub fn received(&mut self, frame: &Frame<'_>) {
-        self.tally.received[index(frame)] += 1;
+        self.tally.received(frame);
     }
 
     /// Text for a scrape.
     pub fn text(&mut self, scrape: &Scrape) -> Vec<u8> {
-        self.add_messages();
+        self.tally.add_to(&self.messages);
         self.add_bytes(scrape);
         record(&self.tables, "table", &scrape.tables);
         record(&self.running, "kind", &scrape.running);
         record(&self.waiting, "kind", &scrape.waiting);
         record(&self.revisions, "service", &scrape.revisions);
-        let mut text = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::warn!("event=metrics_failed error={error:?}");
-        }
-        text
-    }
-
-    fn add_messages(&mut self) {
-        let tally = mem::take(&mut self.tally);
-        for (direction, counts) in [("sent", tally.sent), ("received", tally.received)] {
-            for (name, count) in TYPES.iter().zip(counts).filter(|(_, count)| *count > 0) {
-                let labels = [KeyValue::new("type", *name), KeyValue::new("direction", direction)];
-                self.messages.add(count, &labels);
-            }
-        }
+        self.exporter.text()
     }
 
     fn add_bytes(&mut self, scrape: &Scrape) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod http;
 pub mod link;
 pub mod logs;
+pub mod metrics;
 pub mod options;
 pub mod publish;
 pub mod reactor;
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -1,6 +1,7 @@
 //! The sidecar: the only gate through which an upstream gets work.
 
 pub mod entries;
+mod metrics;
 pub mod peers;
 pub mod status;
 pub mod translate;
@@ -18,7 +19,7 @@
     config::{self, Held, Source, Store, Verdict},
     gate::{self, Effect, Gate},
 };
-use kingcup_wire::{Announce, Document, Finish, Frame, Hello, Key, Refuse, Role, Start, Welcome};
+use kingcup_wire::{Announce, Document, Finish, Frame, Hello, Key, Refuse, Role, Welcome};
 use stakker::{
     actor, after, call, fwd_to, ret_shutdown, stop, sync::ChannelGuard, timer_min, MinTimerKey,
     Stakker, CX,
@@ -33,8 +34,8 @@
     settings::sidecar::Settings,
     sidecar::{
         entries::Entries,
+        metrics::Metrics,
         peers::{Peer, Peers},
-        status::Counters,
     },
 };
 
@@ -68,7 +69,7 @@
     port: Port,
     announced: u64,
     callers: upstream::Callers,
-    counters: Counters,
+    metrics: Metrics,
     stopping: bool,
     lingering: bool,
     _signals: ChannelGuard,
@@ -124,7 +125,7 @@
             port,
             announced: 0,
             callers,
-            counters: Counters::default(),
+            metrics: Metrics::open()?,
             stopping: false,
             lingering: false,
             _signals: signals,
@@ -167,7 +168,7 @@
             revision: self.gate.revision(),
         });
         for to in due {
-            self.counters.announcements += 1;
+            self.metrics.sent(&frame);
             let _ = self.port.send(to, &frame);
         }
     }
@@ -176,7 +177,9 @@
         let now_ms = now_ms(cx);
         let mut buffer = Vec::new();
         while self.port.receive(&mut buffer).is_some() {
-            if let Some(Frame::AnnounceAck(ack)) = self.port.decode(&buffer) {
+            let Some(frame) = self.port.decode(&buffer) else { continue };
+            self.metrics.received(&frame);
+            if let Frame::AnnounceAck(ack) = frame {
                 self.entries.acknowledged(&ack, now_ms);
                 self.config.report(ack.from.name, &self.settings.service, ack.revision);
             }
@@ -254,7 +257,7 @@
     fn frames(&mut self, cx: CX![], id: Id, input: &mut Input) -> bool {
         let now = reactor::now_us(cx);
         while let Some(frame) = input.take_frame() {
-            self.counters.frames_received += 1;
+            self.metrics.received(&frame);
             let peer = self.peers.key(id);
             match (frame, peer) {
                 (Frame::Hello(hello), None) => {
@@ -263,7 +266,9 @@
                     }
                 }
                 (Frame::Probe(value), _) => self.send(id, &Frame::ProbeAck(value)),
-                (Frame::Start(start), Some(peer)) => self.start(peer, &start, now),
+                (Frame::Start(start), Some(peer)) => {
+                    self.gate.start(peer, &translate::start(&start), now);
+                }
                 (Frame::Recall(recall), Some(peer)) => {
                     self.gate.recall(peer, &recall.sequences, recall.stop, now);
                 }
@@ -322,11 +327,6 @@
         true
     }
 
-    fn start(&mut self, peer: gate::Peer, start: &Start<'_>, now: u64) {
-        self.counters.starts += 1;
-        self.gate.start(peer, &translate::start(start), now);
-    }
-
     fn send_document(&mut self, id: Id, service: &str) {
         let held = self.config.held(service).cloned();
         let (revision, text) = held.as_ref().map_or((0, ""), |held| (held.revision(), &held.text));
@@ -335,7 +335,7 @@
 
     fn send(&mut self, id: Id, frame: &Frame<'_>) {
         if self.links.send(id, frame) {
-            self.counters.frames_sent += 1;
+            self.metrics.sent(frame);
         }
     }
 
@@ -356,7 +356,7 @@
     fn carry_out_one(&mut self, effect: Effect) {
         match effect {
             Effect::Call { slot, peer, sequence, job, task, kind, timeout_ms, payload } => {
-                self.counters.calls += 1;
+                self.metrics.called();
                 let (entry, incarnation) = self.names(peer);
                 log::info!(
                     "event=start decision=call job={job} task={task} kind={kind} entry={entry} \
@@ -376,7 +376,7 @@
                 self.send_to(peer, &Frame::Finish(finish));
             }
             Effect::Refuse { peer, sequence, code, load } => {
-                self.counters.refused += 1;
+                self.metrics.refused(code);
                 let (entry, incarnation) = self.names(peer);
                 log::info!(
                     "event=start decision=refuse code={} reason=\"{code}\" entry={entry} \
@@ -478,11 +478,12 @@
             ("GET", "/healthz") => Answer::text(200, "ok\n"),
             ("GET", "/readyz") => self.readiness(),
             ("GET", "/status") => self.status(now_ms(cx)),
+            ("GET", "/metrics") => Answer::text(200, self.metrics.text(&self.gate, &self.port)),
             ("POST", "/drain") => {
                 self.drain(cx);
                 self.status(now_ms(cx))
             }
-            (_, "/healthz" | "/readyz" | "/status" | "/drain") => {
+            (_, "/healthz" | "/readyz" | "/status" | "/metrics" | "/drain") => {
                 Answer::text(405, "method not allowed\n")
             }
             _ => Answer::text(404, "not found\n"),
@@ -502,8 +503,8 @@
     }
 
     fn status(&self, now_ms: u64) -> Answer {
-        let Self { settings, gate, entries, peers, counters, .. } = self;
-        let status = status::status(settings, gate, entries, peers, *counters, now_ms);
+        let Self { settings, gate, entries, peers, .. } = self;
+        let status = status::status(settings, gate, entries, peers, now_ms);
         match serde_json::to_vec(&status) {
             Ok(body) => Answer::json(200, body),
             Err(error) => Answer::text(500, error.to_string()),
--- a/crates/node/src/sidecar/status.rs
+++ b/crates/node/src/sidecar/status.rs
@@ -10,23 +10,6 @@
     sidecar::{entries::Entries, peers::Peers},
 };
 
-/// Events counted since the start.
-#[derive(Debug, Default, Clone, Copy, Serialize)]
-pub struct Counters {
-    /// Starts received.
-    pub starts: u64,
-    /// Calls made to the upstream.
-    pub calls: u64,
-    /// Starts refused as not run.
-    pub refused: u64,
-    /// Frames received on links.
-    pub frames_received: u64,
-    /// Frames sent on links.
-    pub frames_sent: u64,
-    /// Announcements sent.
-    pub announcements: u64,
-}
-
 /// An entry, as this sidecar sees it.
 #[derive(Debug, Serialize)]
 pub struct Entry<'a> {
@@ -71,8 +54,6 @@
     pub records: usize,
     /// Entries known.
     pub entries: Vec<Entry<'a>>,
-    /// Events since the start.
-    pub counters: Counters,
 }
 
 /// Makes the answer.
@@ -81,7 +62,6 @@
     gate: &Gate,
     entries: &'a Entries,
     peers: &Peers,
-    counters: Counters,
     now_ms: u64,
 ) -> Status<'a> {
     let entry = |(name, heard_ms): (&'a str, u64)| Entry {
@@ -107,6 +87,5 @@
         queued: gate.queued(),
         records: gate.records(),
         entries: entries.iter().map(entry).collect(),
-        counters,
     }
 }
--- a/crates/node/tests/sidecar.rs
+++ b/crates/node/tests/sidecar.rs
@@ -266,6 +266,11 @@
     assert_eq!(stage.get("/healthz").0, 200);
     let (_, status) = stage.get("/status");
     assert!(status.contains(r#""revision":3"#) && status.contains(r#""connected":true"#));
+    let (_, metrics) = stage.get("/metrics");
+    let one =
+        |labels: &str| metrics.lines().any(|line| line.starts_with(labels) && line.ends_with(" 1"));
+    assert!(one(r#"kingcup_messages_total{direction="sent",type="finish""#), "{metrics}");
+    assert!(one("kingcup_calls_total"), "{metrics}");
     link.send(&Frame::Probe(77));
     link.until(|frame| matches!(frame, Frame::ProbeAck(77)).then_some(()));
 }
