--- a/crates/node/src/entry/admin.rs
+++ b/crates/node/src/entry/admin.rs
@@ -55,8 +55,8 @@
         let now_us = reactor::now_us(cx);
         let answer = match (call.method.as_str(), call.path.as_str()) {
             ("GET", "/healthz") => Answer::text(200, "ok\n"),
-            ("GET", "/readyz") => self.readiness(),
-            ("GET", "/status") => self.status(),
+            ("GET", "/readyz") => self.readiness(now_us),
+            ("GET", "/status") => self.status(now_us),
             ("GET", "/metrics") => self.scrape(),
             ("POST", "/drain") => {
                 self.stop("drain", now_us);
@@ -68,13 +68,15 @@
         self.settle(now_us);
     }
 
-    fn readiness(&self) -> Answer {
+    fn readiness(&self, now_us: u64) -> Answer {
         if self.stop.is_closing() {
             Answer::text(503, "closing\n")
         } else if self.documents.revisions().is_empty() {
             Answer::text(503, "no document\n")
         } else if !self.has_upstream() {
             Answer::text(503, "no upstream\n")
+        } else if !self.knows_peers(now_us) {
+            Answer::text(503, "entries not heard yet\n")
         } else {
             Answer::text(200, "ready\n")
         }
@@ -85,13 +87,13 @@
         self.services.iter().any(|service| service.engine.fleet().iter().any(|(_, row)| open(row)))
     }
 
-    fn status(&self) -> Answer {
+    fn status(&self, now_us: u64) -> Answer {
         let status = Status {
             name: &self.settings.process.name,
             role: "entry",
             incarnation: format!("{:x}", self.incarnation),
             zone: &self.settings.process.zone,
-            ready: self.readiness().status == 200,
+            ready: self.readiness(now_us).status == 200,
             closing: self.stop.is_closing(),
             store_up: self.stop.store_up,
             revisions: self.documents.revisions().into_iter().collect(),
--- a/crates/node/src/entry/members.rs
+++ b/crates/node/src/entry/members.rs
@@ -2,7 +2,10 @@
 
 use std::net::SocketAddr;
 
-use kingcup_dispatch::member::{Announcement, Contact, Event, Id, Member, Report, Role};
+use kingcup_dispatch::{
+    config::SETTLE_MS,
+    member::{Announcement, Contact, Event, Id, Member, Report, Role},
+};
 use kingcup_wire::{Announce, AnnounceAck, Digest, Entry as EntryInfo, Frame, Usage};
 use stakker::CX;
 use stakker_mio::Ready;
@@ -165,17 +168,37 @@
         log::info!("event=member_joined member={} incarnation={:x}", row.name, row.incarnation);
         match row.role {
             Role::Sidecar => self.sidecar_place(id, now_us),
-            Role::Entry => self.peer_place(id, now_us),
+            Role::Entry => {
+                self.peer_place(id, now_us);
+                self.greet_with_digest(now_us);
+            }
         }
     }
 
+    /// Brings the next digest forward: an entry that has just started needs to know who has which
+    /// records.
+    fn greet_with_digest(&mut self, now_us: u64) {
+        self.next_digest_us = self.next_digest_us.min(now_us);
+    }
+
+    /// True once all entries of the settings have been heard, or are not going to be soon.
+    pub(super) fn knows_peers(&self, now_us: u64) -> bool {
+        let heard = |name: &str| self.members.find(Role::Entry, name).is_some();
+        let own = &self.settings.process.name;
+        let mut others = self.settings.entries.iter().filter(|peer| peer.name != *own);
+        now_us >= SETTLE_MS * 1_000 || others.all(|peer| heard(&peer.name))
+    }
+
     fn member_restarted(&mut self, id: Id, old: u64, now_us: u64) {
         let Some(Member { role, name, incarnation, .. }) = self.members.get(id) else { return };
         log::info!("event=member_restarted member={name} incarnation={incarnation:x} old={old:x}");
         let (role, name, incarnation) = (*role, name.clone(), *incarnation);
         match role {
             Role::Sidecar => self.sidecar_restarted(&name, incarnation, now_us),
-            Role::Entry => self.peer_restarted(&name, now_us),
+            Role::Entry => {
+                self.peer_restarted(&name, now_us);
+                self.greet_with_digest(now_us);
+            }
         }
     }
 
