--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -84,6 +84,7 @@
     stop: stop::Stop,
     metrics: metrics::Metrics,
     watcher: watcher::Watcher,
+    store: watcher::Known,
     rng: fastrand::Rng,
     /// Number of plain submissions.
     plain: u64,
@@ -150,6 +151,7 @@
             stop: stop::Stop::default(),
             metrics,
             watcher,
+            store: watcher::Known::default(),
             rng: fastrand::Rng::new(),
             plain: 0,
             digests: 0,
--- a/crates/node/src/entry/admin.rs
+++ b/crates/node/src/entry/admin.rs
@@ -95,7 +95,7 @@
             zone: &self.settings.process.zone,
             ready: self.readiness(now_us).status == 200,
             closing: self.stop.is_closing(),
-            store_up: self.stop.store_up,
+            store_up: self.store.up,
             revisions: self.documents.revisions().into_iter().collect(),
             sidecars: self.sidecar_statuses(),
             entries: self.entry_statuses(),
--- a/crates/node/src/entry/documents.rs
+++ b/crates/node/src/entry/documents.rs
@@ -2,12 +2,16 @@
 
 use kingcup_dispatch::{
     code::Code,
-    config::{Held, Source, Verdict},
+    config::{Held, Source, Verdict, SETTLE_MS},
 };
 use kingcup_wire::{Document, Frame};
 use stakker::CX;
 
-use super::{services, watcher::Event, Entry};
+use super::{
+    services,
+    watcher::{Event, Known},
+    Entry,
+};
 use crate::{link::Id, reactor};
 
 /// Microseconds in a millisecond.
@@ -20,13 +24,14 @@
         self.services.ensure(name, &self.settings.process.zone, seed)
     }
 
-    /// Code for a service without document.
+    /// Code for a service without document. Before the documents are known, none can be told to be
+    /// missing.
     pub(super) fn unknown_service(&self, now_us: u64) -> Code {
-        let settling = now_us < kingcup_dispatch::config::SETTLE_MS * MS_US;
-        if settling || self.documents.revisions().is_empty() {
-            Code::NoDocument
-        } else {
+        let settled = now_us >= SETTLE_MS * MS_US && !self.documents.revisions().is_empty();
+        if settled || self.store.read {
             Code::UnknownService
+        } else {
+            Code::NoDocument
         }
     }
 
@@ -35,7 +40,7 @@
         let now_us = reactor::now_us(cx);
         match event {
             Event::Listed(texts) => {
-                self.stop.store_up = true;
+                self.store = Known { up: true, read: true };
                 for text in texts {
                     self.offer(&text, Source::Store, "store", now_us);
                 }
@@ -44,7 +49,7 @@
             }
             Event::Changed(text) => self.offer(&text, Source::Store, "store", now_us),
             Event::Failed(reason) => {
-                self.stop.store_up = false;
+                self.store.up = false;
                 log::warn!("event=store_unavailable reason=\"{reason}\"");
             }
         }
--- a/crates/node/src/entry/stop.rs
+++ b/crates/node/src/entry/stop.rs
@@ -64,8 +64,6 @@
     until_us: u64,
     successor: Option<peers::Key>,
     held: Vec<Held>,
-    /// The store answered the last call.
-    pub store_up: bool,
 }
 
 impl Stop {
--- a/crates/node/src/entry/watcher.rs
+++ b/crates/node/src/entry/watcher.rs
@@ -32,6 +32,15 @@
     Failed(String),
 }
 
+/// What is known of the store.
+#[derive(Debug, Default)]
+pub struct Known {
+    /// It answered the last call.
+    pub up: bool,
+    /// All documents were read at least once.
+    pub read: bool,
+}
+
 /// A running watcher. Without a store there is no thread.
 pub struct Watcher {
     wanted: Arc<AtomicBool>,
--- /dev/null
+++ b/crates/node/tests/common/mod.rs
@@ -0,0 +1,407 @@
+//! An entry as a process, with the store, sidecars and other entries played by the test.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use kingcup_node::store::{Client, Limits, SERVICES};
+use kingcup_standin::store::Server;
+use kingcup_wire::{
+    seal_datagram, Announce, Digest, Entry, Finish, Frame, Hello, Key, Load, Outcome, Reader, Role,
+    Welcome, Writer,
+};
+use serde_json::Value;
+
+pub const SECRET: &str = "0123456789abcdef";
+/// Longest wait for anything, generous for a busy machine.
+pub const WAIT: Duration = Duration::from_secs(20);
+/// Wait between two looks at something that is expected to change.
+const LOOK: Duration = Duration::from_millis(20);
+/// Slots of the sidecars that tests play.
+const SLOTS: u16 = 8;
+
+pub const ENVELOPE: &str = r#"{"revision": 1, "changes": [], "document": {
+    "service": "desk", "team": "desk", "upstream_path": "/run", "kinds": [
+    {"name": "push", "urgency": "high", "share_percent": 60, "deadline_ms": 5000,
+     "timeout_ms": 5000, "max_waiting": 500, "idempotent": false},
+    {"name": "file", "urgency": "low", "share_percent": 40, "deadline_ms": 5000,
+     "timeout_ms": 5000, "max_waiting": 500}]}}"#;
+
+pub fn key() -> Key {
+    Key::derive(SECRET)
+}
+
+pub fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+pub fn free_address() -> SocketAddr {
+    TcpListener::bind(loopback()).unwrap().local_addr().unwrap()
+}
+
+/// Looks again and again until there is something.
+pub fn wait_for<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + WAIT;
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(Instant::now() < end, "no {what}");
+        thread::park_timeout(LOOK);
+    }
+}
+
+/// A running entry named `e1`.
+pub struct Stage {
+    child: Child,
+    pub store: Server,
+    pub internal: SocketAddr,
+    pub callers: SocketAddr,
+    pub admin: SocketAddr,
+    file: PathBuf,
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// A response: status, headers as text, JSON body.
+#[derive(Debug)]
+pub struct Response {
+    pub status: u16,
+    pub head: String,
+    pub body: Value,
+}
+
+impl Response {
+    pub fn code(&self) -> u64 {
+        self.body["code"].as_u64().unwrap_or(u64::MAX)
+    }
+}
+
+impl Stage {
+    /// Starts an entry whose document is in force. `peers` are the other entries of its settings.
+    pub fn open(peers: &[(&str, SocketAddr)]) -> Self {
+        let store = Server::open("127.0.0.1:0").unwrap();
+        let client = Client::open(&store.url(), Limits::default());
+        client.put_if(&format!("{SERVICES}desk"), ENVELOPE, 0).unwrap();
+        let (internal, callers, admin) = (free_address(), free_address(), free_address());
+        let mut settings = format!(
+            "[process]\nname = e1\nzone = a-1\nregion = a\nsecret = {SECRET}\n[listen]\n\
+             internal = {internal}\ncallers = {callers}\nadmin = {admin}\n[store]\n\
+             addresses = {}\n[limits]\ndrain_delay_ms = 100\nbody_bytes = 65536\n[entries]\n\
+             e1 = {internal}\n",
+            store.address()
+        );
+        for (name, address) in peers {
+            settings.push_str(&format!("{name} = {address}\n"));
+        }
+        let number = fastrand::u64(..);
+        let file = std::env::temp_dir().join(format!("kingcup-entry-test-{number:x}.ini"));
+        std::fs::write(&file, settings).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_kingcup-entry"))
+            .arg("--settings")
+            .arg(&file)
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let stage = Self { child, store, internal, callers, admin, file };
+        wait_for("document in force", || {
+            let status = stage.get(stage.admin, "/status")?;
+            (status.body["revisions"]["desk"] == 1).then_some(())
+        });
+        stage
+    }
+
+    fn get(&self, address: SocketAddr, path: &str) -> Option<Response> {
+        exchange(address, &format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
+    }
+
+    pub fn status(&self) -> Value {
+        wait_for("status", || self.get(self.admin, "/status")).body
+    }
+
+    pub fn metrics(&self) -> String {
+        let request = "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        let mut stream = TcpStream::connect(self.admin).unwrap();
+        stream.write_all(request.as_bytes()).unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        text
+    }
+
+    pub fn show(&self, path: &str) -> Response {
+        self.get(self.callers, path).expect("response")
+    }
+
+    /// Sends a request with these header lines, each ended by CR LF.
+    pub fn call(&self, method: &str, path: &str, headers: &str, body: &str) -> Response {
+        request(self.callers, method, path, headers, body)
+    }
+
+    pub fn post(&self, path: &str, headers: &str, body: &str) -> Response {
+        self.call("POST", path, headers, body)
+    }
+
+    /// Submits from a thread of its own; `join` gives the response.
+    pub fn submit(&self, headers: &str, body: &str) -> thread::JoinHandle<Response> {
+        let (address, headers, body) = (self.callers, headers.to_owned(), body.to_owned());
+        thread::spawn(move || request(address, "POST", "/v1/jobs", &headers, &body))
+    }
+
+    pub fn home(&self) -> String {
+        self.show("/v1/home").body["home"].as_str().expect("home").to_owned()
+    }
+
+    pub fn stop(&mut self) -> Option<i32> {
+        assert_eq!(request(self.admin, "POST", "/drain", "", "").status, 202);
+        self.child.wait().unwrap().code()
+    }
+}
+
+pub fn request(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &str,
+    body: &str,
+) -> Response {
+    let length = body.len();
+    let text = format!(
+        "{method} {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n{headers}\
+         Content-Length: {length}\r\n\r\n{body}"
+    );
+    exchange(address, &text).expect("response")
+}
+
+fn exchange(address: SocketAddr, request: &str) -> Option<Response> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(WAIT)).unwrap();
+    // A server that refuses a long body may close before all of it is sent.
+    let _ = stream.write_all(request.as_bytes());
+    let mut text = Vec::new();
+    let _ = stream.read_to_end(&mut text);
+    let text = String::from_utf8_lossy(&text).into_owned();
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    let body = serde_json::from_str(body).unwrap_or(Value::Null);
+    Some(Response { status, head: head.to_owned(), body })
+}
+
+/// One side of a framed connection.
+pub struct Wire {
+    stream: TcpStream,
+    reader: Reader,
+    writer: Writer,
+    data: Vec<u8>,
+}
+
+impl Wire {
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(WAIT)).unwrap();
+        Self { stream, reader: Reader::open(key()), writer: Writer::open(key()), data: Vec::new() }
+    }
+
+    pub fn send(&mut self, frame: &Frame<'_>) {
+        let mut out = Vec::new();
+        self.writer.push(frame, &mut out).unwrap();
+        self.stream.write_all(&out).unwrap();
+    }
+
+    /// Waits for a frame that `take` takes; others are dropped. `None` if the connection ends.
+    pub fn next<T>(&mut self, mut take: impl FnMut(&Frame<'_>) -> Option<T>) -> Option<T> {
+        loop {
+            while let Some((used, found)) = self
+                .reader
+                .next(&self.data)
+                .expect("valid frame")
+                .map(|(used, frame)| (used, take(&frame)))
+            {
+                self.data.drain(..used);
+                if found.is_some() {
+                    return found;
+                }
+            }
+            let mut buffer = [0; 4096];
+            match self.stream.read(&mut buffer) {
+                Ok(0) => return None,
+                Ok(count) => self.data.extend_from_slice(&buffer[..count]),
+                Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => return None,
+                Err(error) => panic!("{error}"),
+            }
+        }
+    }
+
+    /// Sequence and task of the next start.
+    pub fn start(&mut self) -> (u64, u16) {
+        let take = |frame: &Frame<'_>| match frame {
+            Frame::Start(start) => Some((start.sequence, start.task)),
+            _ => None,
+        };
+        self.next(take).expect("start")
+    }
+
+    pub fn finish(&mut self, sequence: u64, body: &[u8]) {
+        let (outcome, load) = (Outcome::Done, load());
+        let (queue_us, run_us) = (0, 1_000);
+        self.send(&Frame::Finish(Finish { sequence, outcome, queue_us, run_us, load, body }));
+    }
+}
+
+pub fn load() -> Load<'static> {
+    Load { revision: 1, running: &[0, 0], queued: 0, window: SLOTS }
+}
+
+/// A sidecar that the test plays.
+pub struct Sidecar {
+    pub name: &'static str,
+    pub incarnation: u64,
+    listener: TcpListener,
+    port: UdpSocket,
+    sequence: u64,
+}
+
+/// What an entry says first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Greeting {
+    pub generation: u32,
+    pub settled: u64,
+}
+
+impl Sidecar {
+    pub fn open(name: &'static str, incarnation: u64) -> Self {
+        let listener = TcpListener::bind(loopback()).unwrap();
+        let port = UdpSocket::bind(loopback()).unwrap();
+        Self { name, incarnation, listener, port, sequence: 0 }
+    }
+
+    pub fn announce(&mut self, stage: &Stage) {
+        self.sequence += 1;
+        let address = self.listener.local_addr().unwrap().to_string();
+        let frame = Frame::Announce(Announce {
+            name: self.name,
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            service: "desk",
+            zone: "a-1",
+            address: &address,
+            slots: SLOTS,
+            closing: false,
+            revision: 1,
+        });
+        let data = seal_datagram(&key(), &frame).unwrap();
+        self.port.send_to(&data, stage.internal).unwrap();
+    }
+
+    /// Accepts the entry's next connection and answers its `Hello`.
+    pub fn accept(&self) -> (Wire, Greeting) {
+        let (stream, _) = self.listener.accept().unwrap();
+        let mut wire = Wire::new(stream);
+        let take = |frame: &Frame<'_>| match frame {
+            Frame::Hello(hello) => {
+                Some(Greeting { generation: hello.generation, settled: hello.settled })
+            }
+            _ => None,
+        };
+        let greeting = wire.next(take).expect("hello");
+        wire.send(&Frame::Welcome(Welcome {
+            name: self.name,
+            incarnation: self.incarnation,
+            service: "desk",
+            zone: "a-1",
+            slots: SLOTS,
+            closing: false,
+            load: load(),
+        }));
+        (wire, greeting)
+    }
+
+    /// Announces itself and accepts the entry's connection.
+    pub fn join(&mut self, stage: &Stage) -> Wire {
+        self.announce(stage);
+        let (wire, _) = self.accept();
+        wait_for("open link", || {
+            let status = stage.status();
+            let rows = status["sidecars"].as_array()?;
+            rows.iter().find(|row| row["name"] == self.name && row["state"] == "open").map(|_| ())
+        });
+        wire
+    }
+}
+
+/// Another entry that the test plays.
+pub struct Peer {
+    pub name: &'static str,
+    pub incarnation: u64,
+    pub listener: TcpListener,
+    port: UdpSocket,
+    sequence: u64,
+}
+
+impl Peer {
+    pub fn open(name: &'static str, incarnation: u64) -> Self {
+        let listener = TcpListener::bind(loopback()).unwrap();
+        let port = UdpSocket::bind(loopback()).unwrap();
+        Self { name, incarnation, listener, port, sequence: 0 }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    pub fn digest(&mut self, stage: &Stage, adopted: Vec<(&str, u64)>) {
+        self.sequence += 1;
+        let address = self.address().to_string();
+        let from = Entry { name: self.name, incarnation: self.incarnation, address: &address };
+        let frame = Frame::Digest(Digest {
+            from,
+            sequence: self.sequence,
+            closing: false,
+            revisions: vec![("desk", 1)],
+            usage: Vec::new(),
+            adopted,
+            entries: Vec::new(),
+        });
+        let data = seal_datagram(&key(), &frame).unwrap();
+        self.port.send_to(&data, stage.internal).unwrap();
+    }
+
+    /// Accepts the entry's connection and answers its `Hello`.
+    pub fn accept(&self) -> Wire {
+        let (stream, _) = self.listener.accept().unwrap();
+        let mut wire = Wire::new(stream);
+        let hello = |frame: &Frame<'_>| matches!(frame, Frame::Hello(_)).then_some(());
+        wire.next(hello).expect("hello");
+        wire.send(&Frame::Welcome(Welcome {
+            name: self.name,
+            incarnation: self.incarnation,
+            service: "",
+            zone: "a-2",
+            slots: 0,
+            closing: false,
+            load: Load::default(),
+        }));
+        wire
+    }
+}
+
+/// Opens a connection to the entry as another entry would.
+pub fn visit(stage: &Stage, name: &str) -> Wire {
+    let mut wire = Wire::new(TcpStream::connect(stage.internal).unwrap());
+    let (role, incarnation, generation, settled) = (Role::Entry, 7, 1, 0);
+    wire.send(&Frame::Hello(Hello { role, name, incarnation, generation, settled }));
+    let welcome = |frame: &Frame<'_>| matches!(frame, Frame::Welcome(_)).then_some(());
+    wire.next(welcome).expect("welcome");
+    wire
+}
