Believe a report of other entries' tasks for 1 s instead of 300 ms

Cause: upstreams without a report for 300 ms were assumed to have a slot more free; most of the starts sent for that met a full gate.

Change: the time is 1 s. The bench now puts its entries in different zones, as deployments do; before, all of them preferred the same upstreams on a tie.

--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -22,6 +22,8 @@
 
 /// Delay of a message, in microseconds.
 pub const DELAY_US: u64 = 1_000;
+/// Availability zones; entries and upstreams are spread over them.
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 /// Interval of the entries' ticks, in microseconds.
 const TICK_US: u64 = 10_000;
 /// Run time of a task at the failing upstream, in microseconds.
@@ -182,7 +184,8 @@
             .collect();
         let mut entries = Vec::new();
         for index in 0..plan.entries {
-            let settings = engine::Settings { zone: "a".to_owned(), max_bytes: 64 << 20 };
+            let settings =
+                engine::Settings { zone: ZONES[index % 4].to_owned(), max_bytes: 64 << 20 };
             let seed = plan.seed.wrapping_mul(97).wrapping_add(index as u64);
             let mut engine = Engine::open(settings, seed);
             engine.apply(&document, 1, 0);
@@ -192,7 +195,7 @@
                 let peer = hello.expect("first connection");
                 sidecar.peers.push(peer);
                 let report = sidecar.gate.load(peer, 0).expect("connected");
-                let zone = ["a", "b", "c", "d"][gate % 4];
+                let zone = ZONES[gate % 4];
                 let name = format!("upstream{gate}");
                 let key = engine.connected(&name, zone, 1, plan.slots, &load(&report), 0);
                 upstreams.push(key);
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -29,7 +29,7 @@
 /// Membership is complete enough to judge what can never run after this time, in microseconds.
 const MEMBERSHIP_US: u64 = 5_000_000;
 /// Time without a report after which other entries' tasks are assumed to end, in microseconds.
-const STALE_US: u64 = 300_000;
+const STALE_US: u64 = 1_000_000;
 /// Upstreams whose reports are checked for age in each tick.
 const AGE_VISITS: usize = 32;
 /// A start may wait in a gate's queue for so many times the expected interval between two ends there
