--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -742,14 +742,29 @@
 
     /// Places waiting tasks while there is an upstream for the next one.
     fn pump(&mut self, now_us: u64) {
+        let from = self.actions.len();
         while let Some(pick) = self.queue.next(self.fleet.slots()) {
             let Some((choice, reason)) = self.choose(pick, now_us) else {
+                self.ask_for_slots(pick, from);
                 return;
             };
             self.start(pick, &choice, reason, now_us);
         }
     }
 
+    /// Marks the starts just made: work within its share waits that could not be placed. Lent work
+    /// does not ask to be told of free slots, since most of those are kept from it.
+    fn ask_for_slots(&mut self, pick: Pick, from: usize) {
+        if !pick.within {
+            return;
+        }
+        for action in &mut self.actions[from..] {
+            if let Action::Start(start) = action {
+                start.more = true;
+            }
+        }
+    }
+
     fn choose(&mut self, pick: Pick, now_us: u64) -> Option<(Choice, Reason)> {
         if let Some(choice) = self.probe(now_us) {
             return Some((choice, Reason::Probe));
@@ -810,7 +825,6 @@
         let left_ms = deadline_us.saturating_sub(now_us) / 1_000;
         let gate_ms = self.gate_wait_ms(upstream, fleet_free);
         let headroom = self.fleet.get(upstream).map_or(0, |row| row.headroom);
-        let waiting = self.queue.classes.iter().any(|class| class.waiting > 0);
         self.actions.push(Action::Start(Start {
             upstream,
             sequence,
@@ -819,7 +833,7 @@
             task,
             kind: self.kinds[class].name.clone(),
             headroom: if pick.within { 0 } else { headroom },
-            more: waiting && self.fleet.free() == 0,
+            more: false,
             wait_ms: gate_ms.min(left_ms as u32),
             payload,
         }));
