Let starts within their share wait half as long at a full gate

Cause: such a start waited up to 95 ms at a gate whose kept slot was taken by another entry, while slots kept elsewhere were free.

Change: it waits one expected interval between ends there instead of two.

--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -35,6 +35,8 @@
 /// A start may wait in a gate's queue for so many times the expected interval between two ends there
 /// while the fleet is full: being refused and sent elsewhere would cost two messages and gain little.
 const FULL_GAPS: f32 = 2.0;
+/// The same for work within its share, which another upstream's kept slot may serve sooner.
+const SHARE_GAPS: f32 = 1.0;
 /// The same while other upstreams have free slots.
 const FREE_GAPS: f32 = 0.4;
 /// Part of the fleet's slots that must be free for `FREE_GAPS`, as a divisor.
@@ -824,7 +826,7 @@
             row.sent += 1;
         }
         let left_ms = deadline_us.saturating_sub(now_us) / 1_000;
-        let gate_ms = self.gate_wait_ms(upstream, fleet_free);
+        let gate_ms = self.gate_wait_ms(upstream, pick.within, fleet_free);
         let headroom = self.fleet.get(upstream).map_or(0, |row| row.headroom);
         self.actions.push(Action::Start(Start {
             upstream,
@@ -851,11 +853,16 @@
     }
 
     /// How long a start may wait at an upstream's gate, in milliseconds.
-    fn gate_wait_ms(&self, upstream: Upstream, fleet_free: u32) -> u32 {
+    fn gate_wait_ms(&self, upstream: Upstream, within: bool, fleet_free: u32) -> u32 {
         let slots = self.fleet.get(upstream).map_or(1, |row| row.slots.max(1));
         let gap_ms = self.queue_mean_us() / 1_000.0 / f32::from(slots);
         let plenty = fleet_free * FREE_PART > self.fleet.slots();
-        (gap_ms * if plenty { FREE_GAPS } else { FULL_GAPS }) as u32
+        let gaps = match (plenty, within) {
+            (true, _) => FREE_GAPS,
+            (false, true) => SHARE_GAPS,
+            (false, false) => FULL_GAPS,
+        };
+        (gap_ms * gaps) as u32
     }
 
     /// Mean run time over the kinds, by their starts, in microseconds.
