--- a/crates/node/src/publish.rs
+++ b/crates/node/src/publish.rs
@@ -85,6 +85,8 @@
         /// What is stored.
         present: Box<Option<Snapshot>>,
     },
+    /// stored document cannot be read: {0}
+    Unread(StoreFault),
     /// not written: {0}
     Unavailable(StoreFault),
     /// may have been written as revision {revision}: {reason}
@@ -111,7 +113,7 @@
         match self {
             Self::Invalid(_) | Self::Label { .. } | Self::Corrupt { .. } => Code::DocumentInvalid,
             Self::Reused { .. } | Self::Conflict { .. } => Code::Conflict,
-            Self::Unavailable(_) => Code::StoreUnavailable,
+            Self::Unread(_) | Self::Unavailable(_) => Code::StoreUnavailable,
             Self::Unknown { .. } => Code::ChangeUnknown,
         }
     }
@@ -139,9 +141,9 @@
 ///
 /// # Errors
 ///
-/// `Unavailable` if the store does not answer, `Corrupt` if what it holds cannot be used.
+/// `Unread` if the store does not answer, `Corrupt` if what it holds cannot be used.
 pub fn read(store: &Client, service: &str) -> Result<Option<Snapshot>, Fault> {
-    let stored = store.get(&key(service)).map_err(Fault::Unavailable)?;
+    let stored = store.get(&key(service)).map_err(Fault::Unread)?;
     stored.map(|stored| parse(service, &stored)).transpose()
 }
 
@@ -232,7 +234,7 @@
     fn run(&mut self) -> Result<Accepted, Try> {
         let present = match read(self.store, &self.proposal.document.service) {
             Ok(present) => present,
-            Err(Fault::Unavailable(fault)) => return Err(Try::Again(fault)),
+            Err(Fault::Unread(fault)) => return Err(Try::Again(fault)),
             Err(fault) => return Err(Try::Final(fault)),
         };
         if let Some(accepted) = find(self.proposal, present.as_ref())? {
--- a/crates/tools/tests/ctl.rs
+++ b/crates/tools/tests/ctl.rs
@@ -155,6 +155,9 @@
     let refused = ctl(&["--store", &url, "--timeout", "0", "apply", &document]);
     assert_eq!(refused.exit, 4);
     assert!(refused.err.contains("not written: ") && refused.err.contains("(400)"));
+    let unread = ctl(&["--store", &url, "--processes", &refusing(), "status", "log-desk"]);
+    assert_eq!(unread.exit, 4);
+    assert!(unread.err.contains("cannot be read: ") && !unread.err.contains("not written"));
 }
 
 #[test]
