--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -84,6 +84,7 @@
     stop: stop::Stop,
     metrics: metrics::Metrics,
     watcher: watcher::Watcher,
+    store: watcher::Known,
     rng: fastrand::Rng,
     /// Number of plain submissions.
     plain: u64,
@@ -129,6 +130,9 @@
         let now_us = reactor::now_us(cx);
         let incarnation = reactor::incarnation();
         log::info!("event=started role=entry incarnation={incarnation:x} internal={address}");
+        // Others are told the address under which they have this entry in their own settings.
+        let own = settings.entries.iter().find(|peer| peer.name == settings.process.name);
+        let address = own.map_or(address, |peer| peer.address);
         Ok(Self {
             incarnation,
             address,
@@ -150,6 +154,7 @@
             stop: stop::Stop::default(),
             metrics,
             watcher,
+            store: watcher::Known::default(),
             rng: fastrand::Rng::new(),
             plain: 0,
             digests: 0,
