Make tests of ejection, membership and quotas detect single faults

Repetition found chance ejections when the whole fleet fails 7% to 14% of its tasks: a run of failures now has to be less likely than 1e-10, and few samples no longer make the fleet look better than it is.

The bound of starts under lost digests was stated per second without the bucket that unused shares fill; the test now bounds the sum of shares, each second and the total. The model of handovers took a repeated final part of an older incarnation for the newest one's and now compares incarnations.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -27,14 +27,14 @@
 
 /// Failing jobs that are remembered for an upstream.
 const BLAMES: usize = 8;
-/// Natural logarithm of the probability (1e-8) below which a run of failures is not chance.
+/// Natural logarithm of the probability (1e-10) below which a run of failures is not chance.
 ///
-/// At 1,000 tasks a second an accidental ejection is then expected about once a day.
-const CHANCE_LN: f64 = -18.4;
+/// At 1,000 tasks a second an accidental ejection is then expected about three times a year.
+const CHANCE_LN: f64 = -23.0;
 /// Failure ratio of the fleet that is assumed at least, so that short runs never eject.
 const RATIO_FLOOR: f64 = 0.05;
 /// Failure ratio of the fleet above which no run of failures ejects: then the work is at fault.
-const RATIO_CEILING: f64 = 0.4;
+const RATIO_CEILING: f64 = 0.3;
 /// How far an upstream's failure ratio must exceed the fleet's.
 const RATIO_EXCESS: f64 = 0.2;
 /// The same in standard deviations of a binomial count.
@@ -266,13 +266,17 @@
     }
 
     /// Median failure ratio of the other upstreams; a few bad ones do not move it.
+    ///
+    /// Added counts keep it high while there are few samples, so that chance in these does not make
+    /// the fleet look better than it is. Without samples nothing is known to be better.
     fn fleet_ratio(&self, except: K) -> f64 {
         let others = self.rows.iter().filter(|(upstream, _)| **upstream != except);
         let sampled = others.filter(|(_, row)| row.failed + row.succeeded >= SAMPLES);
-        let mut ratios: Vec<f64> =
-            sampled.map(|(_, row)| row.failed / (row.failed + row.succeeded)).collect();
+        let mut ratios: Vec<f64> = sampled
+            .map(|(_, row)| (row.failed + 1.0) / (row.failed + row.succeeded + 4.0))
+            .collect();
         if ratios.is_empty() {
-            return 0.0;
+            return RATIO_CEILING;
         }
         let middle = ratios.len() / 2;
         *ratios.select_nth_unstable_by(middle, f64::total_cmp).1
--- a/crates/dispatch/tests/health.rs
+++ b/crates/dispatch/tests/health.rs
@@ -40,6 +40,7 @@
         seed in any::<u64>(),
         tasks in 1u32..110,
         before in 0u32..200,
+        in_order in any::<bool>(),
     ) {
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut health = fleet(10);
@@ -51,12 +52,13 @@
             if left == 0 || failed_jobs.contains(&job) {
                 (job, left) = (job + 1, rng.u32(1..=tasks));
             }
-            if outstanding.len() < usize::from(health.allowance(0, SLOTS, 0)) {
+            while left > 0 && outstanding.len() < usize::from(health.allowance(0, SLOTS, 0)) {
                 outstanding.push(job);
                 left -= 1;
             }
-            if !outstanding.is_empty() && rng.bool() {
-                let job = outstanding.swap_remove(rng.usize(..outstanding.len()));
+            if !outstanding.is_empty() {
+                let at = if in_order { 0 } else { rng.usize(..outstanding.len()) };
+                let job = outstanding.remove(at);
                 health.failed(0, job, 0);
                 failed_jobs.insert(job);
                 failed += 1;
@@ -102,15 +104,15 @@
 /// Guards against ejection for a job that fails wherever it runs.
 #[rstest]
 #[case::alone(0)]
-#[case::among_good_work(3)]
+#[case::after_good_work(300)]
 fn a_job_that_fails_everywhere_ejects_nobody(#[case] good: u32) {
     let mut rng = fastrand::Rng::with_seed(1);
     let mut health = fleet(10);
+    (0..good).for_each(|_| background(&mut health, 0, 10, 0.0, &mut rng));
     for job in 0..50 {
         for task in 0..80 {
             health.failed(task % 10, job, 0);
         }
-        (0..good).for_each(|_| background(&mut health, 0, 10, 0.0, &mut rng));
     }
     assert_eq!(health.ejected(), 0);
 }
--- a/crates/dispatch/tests/key.rs
+++ b/crates/dispatch/tests/key.rs
@@ -103,6 +103,21 @@
     assert_eq!(ledger.submit(&job, Digest(1), 0), Verdict::Refused(code));
 }
 
+/// Guards against a refusal that says "not run" and yet forbids the same ID or key afterwards.
+#[test]
+fn what_was_not_run_may_be_submitted_again() {
+    let mut ledger = ledger("a", 1);
+    let (job, key) = (job(&ledger.token(0), 1), key_of("a"));
+    for _ in 0..3 {
+        assert_eq!(ledger.submit(&job, Digest(1), 0), Verdict::Fresh);
+        assert!(ledger.finish(&job, record(Code::QueueFull, 10), 0));
+        assert_eq!(ledger.show(&job, 0), Verdict::Refused(Code::UnknownJob));
+        assert_eq!(ledger.submit_key(keyed(&key, true), Digest(1), 0), Verdict::Fresh);
+        assert!(ledger.finish_key(&key, record(Code::QueueFull, 10), 0));
+    }
+    assert_eq!((ledger.running(), ledger.answer_bytes()), (0, 0));
+}
+
 /// Guards against the bound on answers being exceeded, or a job being forgotten with its answer.
 #[test]
 fn oldest_answers_go_first_and_their_jobs_stay_known() {
@@ -388,10 +403,11 @@
             let successor = successor(ENTRIES[to], self.incarnations[to]);
             parts.extend(self.ledgers[from].seal(successor, parts.len() as u32, self.now));
         }
+        let sender = (ENTRIES[from], self.incarnations[from]);
         let replays = std::mem::replace(&mut self.replays, parts.clone());
         for part in replays.into_iter().chain(parts) {
             let sealed = part.last.is_some();
-            let fresh = part.entry == ENTRIES[from];
+            let fresh = (part.entry.as_str(), part.incarnation) == sender;
             let adopted = self.ledgers[to].import(part, self.now) == Ok(Imported::Adopted);
             if sealed && fresh && adopted {
                 let moved = std::mem::take(&mut self.kept[from]);
--- a/crates/dispatch/tests/member.rs
+++ b/crates/dispatch/tests/member.rs
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Runs all but the paused sidecars, and the entry unless it is paused.
+    /// Runs all but the paused sidecar, and the entry unless it is paused, when it hears nothing.
     fn step(&mut self, now: u64, paused: Option<usize>, entry_paused: bool) {
         for index in 0..self.sidecars.len() {
             if paused == Some(index) {
@@ -90,7 +90,7 @@
             for due in announcer.due(now, &mut self.rng) {
                 let name = format!("s{index}");
                 let lost = self.rng.f64() < self.loss;
-                if lost {
+                if lost || entry_paused {
                     continue;
                 }
                 self.received.push(now);
@@ -143,17 +143,16 @@
         prop_assert_eq!(left(&fleet.events) + left(&fleet.answers), 0);
     }
 
-    /// Guards against suspicion when a member or the observer stops for a second.
+    /// Guards against suspicion when a member stops for a second, or the observer for longer.
     #[test]
-    fn a_pause_of_a_second_suspects_nobody(seed in any::<u64>(), at in 100u64..200) {
+    fn a_pause_suspects_nobody(seed in any::<u64>(), at in 100u64..200) {
         let mut fleet = Fleet::new(10, 0.0, seed);
         for step in 0..600 {
             let paused = (step >= at && step < at + 10).then_some(0);
-            let entry_paused = step >= at + 100 && step < at + 110;
-            fleet.step(step * 100 * MS, paused, entry_paused);
+            fleet.step(step * 100 * MS, paused, (300..350).contains(&step));
+            let counted = if step < 300 { suspected(&fleet.answers) } else { 0 };
+            prop_assert_eq!(suspected(&fleet.events) + left(&fleet.events) + counted, 0);
         }
-        prop_assert_eq!(suspected(&fleet.events) + left(&fleet.events), 0);
-        prop_assert_eq!(suspected(&fleet.answers) + left(&fleet.answers), 0);
     }
 
     /// Guards against a row that goes back to an older announcement or a replaced incarnation.
@@ -163,7 +162,9 @@
         let mut order: Vec<u64> = Vec::new();
         let mut newest = std::collections::HashMap::new();
         for (incarnation, sequence) in heard {
-            members.announced(&announcement("s", incarnation, sequence), 0);
+            let slots = sequence as u16;
+            let heard = Announcement { slots, ..announcement("s", incarnation, sequence) };
+            members.announced(&heard, 0);
             if order.last() != Some(&incarnation) && !order.contains(&incarnation) {
                 order.push(incarnation);
             }
@@ -172,7 +173,9 @@
                 *top = sequence.max(*top);
             }
             let id = members.find(Role::Sidecar, "s").unwrap();
-            prop_assert_eq!(Some(&members.get(id).unwrap().incarnation), order.last());
+            let row = members.get(id).unwrap();
+            prop_assert_eq!(Some(&row.incarnation), order.last());
+            prop_assert_eq!(u64::from(row.slots), newest[&row.incarnation]);
         }
     }
 }
--- a/crates/dispatch/tests/quota.rs
+++ b/crates/dispatch/tests/quota.rs
@@ -86,15 +86,16 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(40))]
 
-    /// Guards against more than the stated error when demand jumps between entries while digests
-    /// are lost: twice the rate, one second's burst aside.
+    /// Guards against more than the stated error when demand jumps between entries: none while
+    /// digests arrive, and twice the rate while they are lost, one second's burst aside.
     #[test]
     fn lost_digests_at_most_double_the_rate(
         seed in any::<u64>(),
         loss in prop::sample::select(vec![0.0, 0.3, 1.0]),
+        before in prop::sample::select(vec![100u32, 4_000]),
         changes in prop::collection::vec(prop::collection::vec(0u32..6_000, 4), 1..5),
     ) {
-        let mut entries = Entries::new(4, &[4_000; 4], 0.0, seed);
+        let mut entries = Entries::new(4, &[before; 4], 0.0, seed);
         entries.run(10);
         entries.loss = loss;
         for demand in changes {
@@ -103,9 +104,13 @@
             let sum: f64 = (0..4)
                 .map(|at| entries.quotas[at].as_mut().unwrap().share_per_s(entries.now))
                 .sum();
-            prop_assert!(sum <= 2.0 * f64::from(RATE), "shares add up to {sum}");
-            let limit = if loss == 0.0 { RATE * 5 / 4 } else { 3 * RATE };
-            prop_assert!(most(&starts) <= limit, "{starts:?}");
+            let most_shares = if loss == 0.0 { 1.0001 } else { 2.0 } * f64::from(RATE);
+            prop_assert!(sum <= most_shares, "shares add up to {sum}");
+            // Buckets that were filled while a share was unused hold one second of it.
+            let limit = most_shares * 2.0;
+            prop_assert!(f64::from(most(&starts)) <= limit, "{starts:?}");
+            let total = most_shares * (starts.len() + 1) as f64;
+            prop_assert!(f64::from(starts.iter().sum::<u32>()) <= total, "{starts:?}");
         }
     }
 }
@@ -115,10 +120,14 @@
 fn a_joining_entry_adds_little() {
     let mut entries = Entries::new(3, &[4_000; 3], 0.0, 1);
     entries.run(10);
+    // The others have just sent their digests, and the next come in 0.7 s.
+    (0..30).for_each(|step| assert!(entries.step(step) <= RATE));
     entries.quotas.push(Some(Quota::new(RATE, 4, entries.now)));
     entries.demand.push(4_000);
+    let unheard: u32 = (30..100).map(|step| entries.step(step)).sum();
+    assert!(unheard <= RATE * 7 / 10 * 106 / 100, "{unheard} starts in 0.7 s");
     let starts = entries.run(20);
-    assert!(most(&starts) <= RATE * 110 / 100, "{starts:?}");
+    assert!(most(&starts) <= RATE * 105 / 100, "{starts:?}");
     assert!(mean(&starts[10..]) >= RATE * 95 / 100, "{starts:?}");
 }
 
--- a/crates/dispatch/tests/retry.rs
+++ b/crates/dispatch/tests/retry.rs
@@ -50,10 +50,11 @@
                 budget.ended(succeeded && !all_fail, now);
                 firsts.push(now);
             }
-            if !budget.retry(SINGLE, Code::UpstreamLost, now) {
+            let granted = (0..9).filter(|_| budget.retry(SINGLE, Code::UpstreamLost, now)).count();
+            retries.extend(vec![now; granted]);
+            if granted == 0 {
                 continue;
             }
-            retries.push(now);
             let second = now / 1_000_000;
             let recent = |times: &[u64]| -> u64 {
                 times.iter().filter(|at| **at / 1_000_000 + 10 > second).count() as u64
