--- a/crates/dispatch/src/key.rs
+++ b/crates/dispatch/src/key.rs
@@ -33,16 +33,18 @@
 
 /// Bounds of a ledger.
 ///
-/// With the defaults the tables take at most about 5 MB for clients, 16 MiB for finished records and
-/// answers, 10 MB for running submissions and 40 MB for idempotency keys of full length (20 MB for
-/// keys of 36 bytes). `docs/measurements-membership.md` has measured sizes.
+/// With the defaults all tables together take at most about 35 MB: clients 3 MB, running submissions
+/// 5 MB, finished records and answers 16 MiB, and idempotency keys whose answers were dropped 10 MB
+/// (3 MB more if all are of full length). While records of other entries are imported, these take at
+/// most as much again until their final part. `docs/measurements-membership.md` has measured sizes.
 #[derive(Debug, Clone)]
 pub struct Limits {
     /// Clients that are remembered; the least recently used is evicted.
     pub clients: usize,
     /// Submissions that run at the same time.
     pub running: usize,
-    /// Idempotency keys that are remembered; further ones are refused until some expire.
+    /// Idempotency keys that are remembered; further ones are refused until some expire. The default
+    /// allows 54 new keys a second over the retention.
     pub keys: usize,
     /// Bytes of finished records, each counted with `answers::RECORD_BYTES`.
     pub answer_bytes: usize,
@@ -53,9 +55,9 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            clients: 16_384,
-            running: 65_536,
-            keys: 131_072,
+            clients: 8_192,
+            running: 32_768,
+            keys: 32_768,
             answer_bytes: 16 << 20,
             retention_us: 600_000_000,
         }
--- a/crates/dispatch/src/key/answers.rs
+++ b/crates/dispatch/src/key/answers.rs
@@ -8,8 +8,9 @@
 use super::{Digest, Limits, Record};
 use crate::code::Code;
 
-/// What a record costs besides its body: the row, its share of the tree and its queue slot.
-pub const RECORD_BYTES: usize = 160;
+/// What a record costs besides its body: the row, its share of the tree and its queue slot. About
+/// 190 were measured.
+pub const RECORD_BYTES: usize = 200;
 
 /// Name of a record.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
