--- a/crates/bench/src/bin/kingcup-bench-membership.rs
+++ b/crates/bench/src/bin/kingcup-bench-membership.rs
@@ -237,7 +237,7 @@
     let parts = ledger.export(PART_BYTES, SECOND_US);
     let exported = start.elapsed();
     let successor = Successor { entry: "b", incarnation: 1 };
-    let last = ledger.seal(successor, parts.len() as u32, SECOND_US);
+    let last = ledger.seal(successor, SECOND_US);
     let mut to = open("b", 1);
     let start = Instant::now();
     let count = parts.len();
--- a/crates/dispatch/src/key.rs
+++ b/crates/dispatch/src/key.rs
@@ -187,6 +187,7 @@
     replaced: bool,
     next_home: u32,
     round: u32,
+    exported: u32,
     staged: Vec<handover::Staged>,
 }
 
@@ -209,6 +210,7 @@
             replaced: false,
             next_home: OWN + 1,
             round: 0,
+            exported: 0,
             staged: Vec::new(),
         }
     }
--- a/crates/dispatch/src/key/handover.rs
+++ b/crates/dispatch/src/key/handover.rs
@@ -78,16 +78,16 @@
         for (name, row) in self.answers.iter() {
             self.export_row(name, row, max_bytes, now, &mut room, &mut parts);
         }
+        self.exported = parts.len() as u32;
         parts
     }
 
     /// Makes the final part, which passes ownership of the IDs to one incarnation of one entry.
     /// Returns it once.
     ///
-    /// `parts` is the number of the others in the newest export; the successor must have
-    /// acknowledged them. From here on this ledger returns what it knows, and answers everything
+    /// The successor must have acknowledged the other parts of the newest export. From here on this ledger returns what it knows, and answers everything
     /// else with "may have run".
-    pub fn seal(&mut self, successor: Successor<'_>, parts: u32, now: u64) -> Option<Part> {
+    pub fn seal(&mut self, successor: Successor<'_>, now: u64) -> Option<Part> {
         if self.phase != Phase::Exporting {
             return None;
         }
@@ -104,7 +104,7 @@
             homes: homes.collect(),
             reach_us: self.key_reach(now),
         };
-        Some(Part { last: Some(last), ..self.part(parts) })
+        Some(Part { last: Some(last), ..self.part(self.exported) })
     }
 
     /// Takes a part of another entry's records.
--- a/crates/dispatch/tests/key.rs
+++ b/crates/dispatch/tests/key.rs
@@ -6,7 +6,9 @@
     code::{Code, Fate},
     id::{Home, Job},
     key::{
+        window::{Seen, Window},
         Digest, Fault, Imported, Keyed, Ledger, Limits, Owners, Part, Record, Successor, Verdict,
+        WINDOW,
     },
 };
 use proptest::prelude::*;
@@ -57,7 +59,7 @@
     now: u64,
 ) -> Result<Imported, Fault> {
     let mut parts = from.export(max, now);
-    parts.extend(from.seal(successor(name, 1), parts.len() as u32, now));
+    parts.extend(from.seal(successor(name, 1), now));
     let mut last = Ok(Imported::Stored);
     for part in parts {
         let bytes = postcard::to_allocvec(&part).unwrap();
@@ -186,8 +188,8 @@
     let parts = a.export(2_000, SECOND);
     let closing = Verdict::Refused(Code::Closing);
     assert_eq!(a.submit(&job(&home, 60), Digest(1), SECOND), closing);
-    let last = a.seal(successor("b", 1), parts.len() as u32, SECOND).unwrap();
-    assert_eq!(a.seal(successor("b", 1), parts.len() as u32, SECOND), None);
+    let last = a.seal(successor("b", 1), SECOND).unwrap();
+    assert_eq!(a.seal(successor("b", 1), SECOND), None);
     assert_eq!(b.import(last.clone(), SECOND), Err(Fault::Incomplete));
     for part in parts.iter().chain(&parts).rev() {
         assert_eq!(b.import(part.clone(), SECOND), Ok(Imported::Stored));
@@ -217,7 +219,7 @@
     let (mut a, mut b) = (ledger("a", 1), ledger("b", 1));
     let job = job(&a.token(0), 1);
     let mut parts = a.export(1_000, 0);
-    parts.extend(a.seal(successor("b", 1), parts.len() as u32, 0));
+    parts.extend(a.seal(successor("b", 1), 0));
     assert!(parts.iter().all(|part| b.import(part.clone(), 0).is_ok()));
     assert_eq!(b.submit(&job, Digest(1), 0), Verdict::Fresh);
     let mut other = ledger(entry, incarnation);
@@ -401,7 +403,7 @@
         }
         if last {
             let successor = successor(ENTRIES[to], self.incarnations[to]);
-            parts.extend(self.ledgers[from].seal(successor, parts.len() as u32, self.now));
+            parts.extend(self.ledgers[from].seal(successor, self.now));
         }
         let sender = (ENTRIES[from], self.incarnations[from]);
         let replays = std::mem::replace(&mut self.replays, parts.clone());
@@ -417,6 +419,33 @@
     }
 }
 
+proptest! {
+    /// Guards against a window that forgets a sequence within its reach or mixes up two of them.
+    #[test]
+    fn a_window_is_exact_within_its_reach(
+        steps in prop::collection::vec((0u64..3_000, any::<bool>()), 1..200),
+        base in prop::sample::select(vec![0, u64::MAX - 3_000]),
+    ) {
+        let mut window = Window::default();
+        let (mut known, mut high) = (HashMap::new(), 0);
+        for (offset, ran) in steps {
+            let sequence = base + offset;
+            let seen = if ran { Seen::Ran } else { Seen::Started };
+            window.set(sequence, seen);
+            high = high.max(sequence);
+            known.insert(sequence, seen);
+            for asked in base..base + 3_000 {
+                let expected = match known.get(&asked) {
+                    _ if asked <= high && high - asked >= WINDOW => Seen::Below,
+                    Some(seen) => *seen,
+                    None => Seen::Never,
+                };
+                prop_assert_eq!(window.seen(asked), expected, "sequence {}", asked);
+            }
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(2_000))]
 
