--- a/crates/dispatch/tests/health.rs
+++ b/crates/dispatch/tests/health.rs
@@ -147,6 +147,16 @@
     assert!(matches!(health.state(0), Some(State::Ejected { .. })));
 }
 
+/// Guards against ejection by comparison with a handful of tasks that succeeded by chance.
+#[test]
+fn few_samples_eject_late_but_within_the_bound() {
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut health = fleet(10);
+    (0..3).for_each(|_| background(&mut health, 1, 10, 0.0, &mut rng));
+    let failed = (1..).find(|job| health.failed(0, *job, 0).is_some()).unwrap();
+    assert!((11..=u64::from(FAILED_TASKS)).contains(&failed), "ejected after {failed} failures");
+}
+
 /// Guards against more than one probe in 5 s, and against a return with all slots at once.
 #[test]
 fn an_ejected_upstream_is_probed_and_returns_gradually() {
--- a/crates/dispatch/tests/key.rs
+++ b/crates/dispatch/tests/key.rs
@@ -228,6 +228,20 @@
     assert_eq!(other.submit(&job, Digest(1), 0), Verdict::Refused(Code::HomeLost));
 }
 
+/// Guards against a successor starting a stopped entry's keys, which a new process of that entry's
+/// name would start again.
+#[test]
+fn a_successor_starts_none_of_the_stopped_entrys_keys() {
+    let (mut a, mut b) = (ledger("a", 1), ledger("b", 1));
+    assert_eq!(hand_over(&mut a, (&mut b, "b"), 900, 0), Ok(Imported::Adopted));
+    let key = key_of("a");
+    let later = 2_000 * SECOND;
+    let first = b.submit_key(keyed(&key, true), Digest(1), later);
+    assert_eq!(first, Verdict::Refused(Code::HomeUnreachable));
+    let unmarked = b.submit_key(keyed(&key, false), Digest(1), later);
+    assert_eq!(unmarked, Verdict::Refused(Code::RecordExpired));
+}
+
 /// Guards against parts that exceed the size of a frame, and against losing keys in a handover.
 #[test]
 fn parts_keep_to_their_size_and_carry_keys() {
