Drop unfinished imports, and give a silent entry's place in a subset to the next

Parts of an entry that died while it handed over kept their room for ever. An entry of the settings that had died kept its place among the four of its region.

--- a/crates/dispatch/src/health.rs
+++ b/crates/dispatch/src/health.rs
@@ -202,7 +202,8 @@
     /// How many tasks may be outstanding at an upstream with this many slots. 0 for an unknown one.
     ///
     /// During a run of failures the number shrinks so that the run can still reach enough distinct
-    /// jobs within the bound of failed tasks, even if each job fails as often as it can.
+    /// jobs within the bound of failed tasks, even if each job fails as often as it can. One success
+    /// restores it. When all work fails everywhere the number is small at every upstream.
     pub fn allowance(&self, upstream: K, slots: u16, now: u64) -> u16 {
         let Some(row) = self.rows.get(&upstream) else {
             return 0;
--- a/crates/dispatch/src/key/handover.rs
+++ b/crates/dispatch/src/key/handover.rs
@@ -15,6 +15,9 @@
 
 /// Exports that are received at the same time.
 const STAGED: usize = 8;
+/// Time after which an export that has stopped arriving is dropped, in microseconds; longer than any
+/// entry takes to stop.
+const STAGED_US: u64 = 300_000_000;
 /// How long an adopted incarnation is kept at least, in microseconds.
 ///
 /// Forgetting it earlier would let a late copy of its parts be imported again, without the jobs
@@ -222,6 +225,7 @@
 
     /// Finds or makes the place for a part; an export that has been quiet longest gives way.
     fn stage(&mut self, part: &Part, now: u64) -> Result<usize, Fault> {
+        self.staged.retain(|staged| now.saturating_sub(staged.touched) < STAGED_US);
         let same =
             |staged: &Staged| staged.incarnation == part.incarnation && staged.entry == part.entry;
         if let Some(at) = self.staged.iter().position(same) {
--- a/crates/dispatch/src/member.rs
+++ b/crates/dispatch/src/member.rs
@@ -69,6 +69,8 @@
     contact: Contact,
     /// When someone last mentioned it; `None` if it stands in the settings.
     mentioned: Option<u64>,
+    /// It was removed as silent, and nobody has mentioned it since.
+    gone: bool,
 }
 
 impl Members {
@@ -81,7 +83,7 @@
     ) -> Self {
         let listed = settings.into_iter().filter(|contact| contact.name != name);
         let book = listed
-            .map(|contact| (contact.name.clone(), Listed { contact, mentioned: None }))
+            .map(|contact| (contact.name.clone(), Listed { contact, mentioned: None, gone: false }))
             .collect();
         Self {
             name: name.to_owned(),
@@ -268,13 +270,14 @@
     /// Names of the entries that a sidecar announces itself to.
     ///
     /// All of them when few. Otherwise the highest by rendezvous hash in each region, so that every
-    /// entry gets an equal part of the fleet and a joining entry changes few choices.
+    /// entry gets an equal part of the fleet and a joining entry changes few choices. An entry that
+    /// was removed as silent gives its place to the next until another entry mentions it again.
     pub fn subset(&self) -> Vec<&str> {
         if self.book.len() <= ALL_ENTRIES {
             return self.book.keys().map(String::as_str).collect();
         }
         let mut regions: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
-        for (name, listed) in &self.book {
+        for (name, listed) in self.book.iter().filter(|(_, listed)| !listed.gone) {
             regions.entry(region(&listed.contact.zone)).or_default().push(name);
         }
         let ranked = |names| rendezvous::subset(&self.name, names, SUBSET_PER_REGION);
@@ -385,9 +388,12 @@
     fn remove(&mut self, id: Id) -> Option<Event> {
         let row = self.rows.remove(id)?;
         match row.role {
-            Role::Sidecar => self.sidecars.remove(&row.name),
-            Role::Entry => self.entries.remove(&row.name),
-        };
+            Role::Sidecar => drop(self.sidecars.remove(&row.name)),
+            Role::Entry => {
+                self.entries.remove(&row.name);
+                self.book.get_mut(&row.name).into_iter().for_each(|listed| listed.gone = true);
+            }
+        }
         Some(Event::Left { id, role: row.role, name: row.name, incarnation: row.incarnation })
     }
 
@@ -425,12 +431,13 @@
         match self.book.get_mut(&contact.name) {
             Some(listed) => {
                 listed.contact = contact;
+                listed.gone = false;
                 listed.mentioned = listed.mentioned.map(|_| now);
             }
             None if full => {}
             None => {
                 let name = contact.name.clone();
-                self.book.insert(name, Listed { contact, mentioned: Some(now) });
+                self.book.insert(name, Listed { contact, mentioned: Some(now), gone: false });
             }
         }
     }
--- a/crates/dispatch/tests/key.rs
+++ b/crates/dispatch/tests/key.rs
@@ -228,6 +228,23 @@
     assert_eq!(other.submit(&job, Digest(1), 0), Verdict::Refused(Code::HomeLost));
 }
 
+/// Guards against the parts of an entry that died while it handed over taking the room of others.
+#[test]
+fn unfinished_imports_are_bounded_and_expire() {
+    let limits = Limits { answer_bytes: 1_000, clients: 1, keys: 0, ..Limits::default() };
+    let mut to = Ledger::new("c", 1, owners(), limits, 0);
+    let part = |entry: &str| {
+        let mut from = ledger(entry, 1);
+        let job = job(&from.token(0), 1);
+        from.submit(&job, Digest(1), 0);
+        from.finish(&job, record(Code::Complete, 400), 0);
+        from.export(10_000, 0).remove(0)
+    };
+    assert_eq!(to.import(part("a"), 0), Ok(Imported::Stored));
+    assert_eq!(to.import(part("b"), 0), Err(Fault::Full));
+    assert_eq!(to.import(part("b"), 301 * SECOND), Ok(Imported::Stored));
+}
+
 /// Guards against a successor starting a stopped entry's keys, which a new process of that entry's
 /// name would start again.
 #[test]
--- a/crates/dispatch/tests/member.rs
+++ b/crates/dispatch/tests/member.rs
@@ -334,6 +334,23 @@
     assert_eq!(few.subset().len(), 8);
 }
 
+/// Guards against a dead entry of the settings that keeps its place in a sidecar's subset.
+#[test]
+fn a_silent_entry_gives_its_place_to_another() {
+    let entries: Vec<Contact> =
+        (0..12).map(|index| contact(&format!("e{index:02}"), "a-1")).collect();
+    let mut members = Members::new("s", "a-1", entries.clone(), 0);
+    let dead = members.subset()[0].to_owned();
+    members.reported(&report(&dead, "a-1", 1), 0);
+    tick_to(&mut members, 0, 11 * SECOND);
+    assert!(members.subset().len() == 4 && !members.subset().contains(&dead.as_str()));
+    let other = entries.iter().find(|contact| contact.name != dead).unwrap();
+    let mentioned = [contact(&dead, "a-1")];
+    let heard = Report { entries: &mentioned, ..report(&other.name, "a-1", 1) };
+    members.reported(&heard, 11 * SECOND);
+    assert!(members.subset().contains(&dead.as_str()));
+}
+
 /// Guards against a drain that entries learn of only with the next regular announcement.
 #[test]
 fn a_change_is_announced_at_once_and_repeated() {
