--- a/crates/node/src/entry/handover.rs
+++ b/crates/node/src/entry/handover.rs
@@ -144,8 +144,7 @@
         let Some(handover) = self.stop.handover() else { return };
         let Some(attempt) = &mut handover.attempt else { return };
         let successor = Successor { entry: &entry, incarnation: attempt.incarnation };
-        let parts = attempt.parts.len() as u32;
-        let Some(last) = self.ledger.seal(successor, parts, now_us) else { return };
+        let Some(last) = self.ledger.seal(successor, now_us) else { return };
         attempt.parts.push(encode(&last));
         attempt.sealed = true;
         self.send_part(now_us);
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -24,6 +24,8 @@
 pub const WAIT: Duration = Duration::from_secs(20);
 /// Wait between two looks at something that is expected to change.
 const LOOK: Duration = Duration::from_millis(20);
+/// Times that the entry's start is tried.
+const STARTS: usize = 5;
 /// Slots of the sidecars that tests play.
 const SLOTS: u16 = 8;
 
@@ -96,6 +98,17 @@
         let store = Server::open("127.0.0.1:0").unwrap();
         let client = Client::open(&store.url(), Limits::default());
         client.put_if(&format!("{SERVICES}desk"), ENVELOPE, 0).unwrap();
+        // A port that was free may be taken by a connection of another test before it is bound.
+        let started = (0..STARTS).find_map(|_| Self::start(&store, peers));
+        let (child, file, [internal, callers, admin]) = started.expect("entry starts");
+        Self { child, store, internal, callers, admin, file }
+    }
+
+    /// Starts the process; `None` if it ended before its document was in force.
+    fn start(
+        store: &Server,
+        peers: &[(&str, SocketAddr)],
+    ) -> Option<(Child, PathBuf, [SocketAddr; 3])> {
         let (internal, callers, admin) = (free_address(), free_address(), free_address());
         let mut settings = format!(
             "[process]\nname = e1\nzone = a-1\nregion = a\nsecret = {SECRET}\n[listen]\n\
@@ -110,18 +123,21 @@
         let number = fastrand::u64(..);
         let file = std::env::temp_dir().join(format!("kingcup-entry-test-{number:x}.ini"));
         std::fs::write(&file, settings).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_kingcup-entry"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_kingcup-entry"))
             .arg("--settings")
             .arg(&file)
             .stderr(Stdio::null())
             .spawn()
             .unwrap();
-        let stage = Self { child, store, internal, callers, admin, file };
-        wait_for("document in force", || {
-            let status = stage.get(stage.admin, "/status")?;
-            (status.body["revisions"]["desk"] == 1).then_some(())
+        let in_force = wait_for("document in force", || {
+            if child.try_wait().unwrap().is_some() {
+                return Some(false);
+            }
+            let request = "GET /status HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+            let status = exchange(admin, request)?;
+            (status.body["revisions"]["desk"] == 1).then_some(true)
         });
-        stage
+        in_force.then_some((child, file, [internal, callers, admin]))
     }
 
     fn get(&self, address: SocketAddr, path: &str) -> Option<Response> {
