Share one receive buffer between connections without a partial frame

Cause: each connection kept 128 KB of receive buffer; kingcup-capacity showed 34.7 MB resident at 200 sidecars and 10.5 MB at 10, which gives 137 MB at 1,000 against a budget of 32 MB. Buffers of idle connections are now shared, a burst's large buffers are given back, and a sender that brings more than 64 MB at one event is cut off.

--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -19,6 +19,12 @@
 const READ_BYTES: usize = 64 << 10;
 /// Unsent bytes at which a connection counts as stuck and is closed.
 pub const UNSENT_BYTES: usize = 64 << 20;
+/// Bytes read at one event at which a sender counts as out of bounds and is cut off.
+const UNREAD_BYTES: usize = 64 << 20;
+/// Largest receive buffer that is kept.
+const SPARE_BYTES: usize = 1 << 20;
+/// Largest send buffer that an idle connection keeps, in bytes.
+const IDLE_BYTES: usize = 16 << 10;
 
 new_key_type! {
     /// Names a connection in its table.
@@ -68,6 +74,9 @@
     key: Key,
     links: SlotMap<Id, Link>,
     dirty: Vec<Id>,
+    /// Receive buffer for a connection that has no partial frame. One of its own for each connection
+    /// would hold 128 KB.
+    spare: Vec<u8>,
 }
 
 /// Listens for connections.
@@ -87,7 +96,7 @@
 impl Table {
     /// Makes an empty table.
     pub fn open(key: Key) -> Self {
-        Self { key, links: SlotMap::with_key(), dirty: Vec::new() }
+        Self { key, links: SlotMap::with_key(), dirty: Vec::new(), spare: Vec::new() }
     }
 
     /// Opens a connection; it is in the table before it is established.
@@ -200,6 +209,9 @@
             if link.stream.flush().is_err() || link.stream.out.len() > UNSENT_BYTES {
                 failed.push(id);
             }
+            if link.stream.out.is_empty() && link.stream.out.capacity() > IDLE_BYTES {
+                link.stream.out = Vec::new();
+            }
         }
         failed
     }
@@ -210,8 +222,15 @@
         let link = self.links.get_mut(id)?;
         let mut closed = None;
         let before = link.stream.wr - link.stream.rd;
+        if link.stream.inp.is_empty() {
+            link.stream.inp = mem::take(&mut self.spare);
+        }
         loop {
             match link.stream.read(READ_BYTES) {
+                ReadStatus::NewData if link.stream.wr - link.stream.rd > UNREAD_BYTES => {
+                    closed = Some(Closed::Frame(Fault::Length));
+                    break;
+                }
                 ReadStatus::NewData => {}
                 ReadStatus::WouldBlock => break,
                 ReadStatus::EndOfStream => {
@@ -236,11 +255,26 @@
 
     /// Returns the input of `read`. Gives the reason if the connection is to be closed.
     pub fn put_back(&mut self, id: Id, input: Input) -> Option<Closed> {
-        let link = self.links.get_mut(id)?;
-        link.stream.inp = input.data;
-        (link.stream.rd, link.stream.wr) = (input.at, input.end);
-        link.reader = input.reader;
-        input.closed
+        let Input { data, reader, at, end, closed } = input;
+        let Some(link) = self.links.get_mut(id) else {
+            self.keep(data);
+            return None;
+        };
+        link.reader = reader;
+        if at < end {
+            link.stream.inp = data;
+            (link.stream.rd, link.stream.wr) = (at, end);
+        } else {
+            self.keep(data);
+        }
+        closed
+    }
+
+    /// Keeps a receive buffer for the next read unless a burst has made it large.
+    fn keep(&mut self, buffer: Vec<u8>) {
+        if buffer.len() <= SPARE_BYTES {
+            self.spare = buffer;
+        }
     }
 
     /// Sends what was queued for a connection that has become writable.
