--- a/crates/dispatch/tests/engine.rs
+++ b/crates/dispatch/tests/engine.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::sync::Arc;
+use std::{collections::VecDeque, sync::Arc};
 
 use common::{engine, idle, job, payloads};
 use kingcup_dispatch::{
@@ -202,3 +202,80 @@
     engine.tick(1_000_001);
     assert_eq!(failed_with(&answers(engine.actions())), Some(Code::Expired));
 }
+
+/// Guards against a worker that fails at once and draws all work, and against probes without end.
+#[test]
+fn a_worker_that_fails_every_task_is_ejected_and_probed() {
+    let mut engine = engine(1);
+    let upstreams = connect(&mut engine, &["u", "v", "w", "x", "y"], 8);
+    let input = payloads(1);
+    let mut failed_at = Vec::new();
+    let mut running = VecDeque::new();
+    for step in 0..4_000 {
+        let now_us = step * 10_000;
+        if running.len() > 28 {
+            let good: Start = running.pop_front().expect("not empty");
+            engine.finish(good.upstream, &finish(good.sequence, End::Done), now_us);
+        }
+        engine.submit(&job("retraction", &input), now_us).expect("accepted");
+        for start in starts(&std::mem::take(engine.actions())) {
+            if start.upstream != upstreams[0] {
+                running.push_back(start);
+                continue;
+            }
+            let end = End::Failed(Code::TaskFailed);
+            engine.finish(start.upstream, &finish(start.sequence, end), now_us);
+            failed_at.push(now_us);
+        }
+    }
+    let ejected_us = failed_at.iter().position(|&at_us| at_us > 5_000_000).expect("probed");
+    assert!(ejected_us <= 20, "{ejected_us} tasks failed before the ejection");
+    assert!(failed_at[ejected_us..].windows(2).all(|pair| pair[1] - pair[0] >= 5_000_000));
+}
+
+/// Guards against a second run of a task of a job, of a kind that is not idempotent, or at the
+/// upstream that failed.
+#[rstest]
+#[case(true, true, 1)]
+#[case(true, false, 0)]
+#[case(false, true, 0)]
+fn only_single_idempotent_requests_run_again(
+    #[case] idempotent: bool,
+    #[case] single: bool,
+    #[case] again: usize,
+) {
+    let mut engine = engine(1);
+    let mut document = common::document();
+    document.kinds[0].idempotent = idempotent;
+    engine.apply(&document, 2, 0);
+    connect(&mut engine, &["u", "v"], 8);
+    let input = payloads(1);
+    engine.submit(&Submission { single, ..job("retraction", &input) }, 0).expect("accepted");
+    let first = starts(&std::mem::take(engine.actions())).remove(0);
+    let end = End::Failed(Code::TaskFailed);
+    engine.finish(first.upstream, &finish(first.sequence, end), 1_000);
+    let second = starts(engine.actions());
+    assert_eq!(second.len(), again);
+    assert!(second.iter().all(|start| start.upstream != first.upstream));
+    assert_eq!(answers(engine.actions()).len(), 1 - again);
+}
+
+/// Guards against lost work when a new document removes its kind.
+#[test]
+fn work_of_a_removed_kind_is_still_done() {
+    let mut engine = engine(1);
+    connect(&mut engine, &["u"], 2);
+    let input = payloads(3);
+    engine.submit(&job("clarification", &input), 0).expect("accepted");
+    let mut document = common::document();
+    document.kinds.remove(1);
+    engine.apply(&document, 2, 0);
+    let refusal = engine.submit(&job("clarification", &input), 0).expect_err("refused");
+    assert_eq!(refusal.code, Code::UnknownKind);
+    for step in 1..10 {
+        for start in starts(&std::mem::take(engine.actions())) {
+            engine.finish(start.upstream, &finish(start.sequence, End::Done), step * 100_000);
+        }
+    }
+    assert_eq!(engine.census().jobs, 0);
+}
