Collect recalls until the actions are drained

Cause: a wave of cancellations of many single requests sent a recall for each.

Change: starts to be recalled are collected for each upstream, and become one recall when the caller drains the actions.

--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -100,6 +100,8 @@
     /// When the first upstream was connected.
     member_us: Option<u64>,
     actions: Vec<Action>,
+    /// Upstreams with starts to be recalled.
+    recalling: Vec<Upstream>,
 }
 
 fn empty() -> Arc<[u8]> {
@@ -126,11 +128,20 @@
             sent: 0,
             member_us: None,
             actions: Vec::new(),
+            recalling: Vec::new(),
         }
     }
 
     /// The actions since the last call. The list is the caller's to drain.
+    ///
+    /// Recalls are collected until then, so that a wave of cancellations costs each sidecar one.
     pub fn actions(&mut self) -> &mut Vec<Action> {
+        for upstream in std::mem::take(&mut self.recalling) {
+            let sequences = self.fleet.take_recalls(upstream);
+            if !sequences.is_empty() {
+                self.actions.push(Action::Recall(Recall { upstream, sequences, stop: true }));
+            }
+        }
         &mut self.actions
     }
 
@@ -540,10 +551,7 @@
         let recalled: Vec<u64> =
             row.flights.iter().filter(failed).map(|flight| flight.sequence).collect();
         let sequences = row.flights.iter().map(|flight| flight.sequence).collect();
-        if !recalled.is_empty() {
-            let recall = Recall { upstream, sequences: recalled, stop: true };
-            self.actions.push(Action::Recall(recall));
-        }
+        self.add_recalls(upstream, &recalled);
         sequences
     }
 
@@ -689,8 +697,7 @@
         self.conclude(job);
     }
 
-    /// Sends one recall to each sidecar that holds starts of the job. Where the link is lost, this is
-    /// done when it is back.
+    /// Recalls the job's starts. Where the link is lost, this is done when it is back.
     fn recall(&mut self, job: job::Key) {
         let Some(row) = self.jobs.get(job) else {
             return;
@@ -702,13 +709,14 @@
         let mut starts: Vec<(Upstream, u64)> = row.tasks.iter().filter_map(place).collect();
         starts.sort_unstable();
         for chunk in starts.chunk_by(|one, other| one.0 == other.0) {
-            let upstream = chunk[0].0;
-            let row = self.fleet.get(upstream);
-            if row.is_none_or(|row| row.state == State::Suspended) {
-                continue;
-            }
-            let sequences = chunk.iter().map(|&(_, sequence)| sequence).collect();
-            self.actions.push(Action::Recall(Recall { upstream, sequences, stop: true }));
+            let sequences: Vec<u64> = chunk.iter().map(|&(_, sequence)| sequence).collect();
+            self.add_recalls(chunk[0].0, &sequences);
+        }
+    }
+
+    fn add_recalls(&mut self, upstream: Upstream, sequences: &[u64]) {
+        if self.fleet.add_recalls(upstream, sequences.iter().copied()) {
+            self.recalling.push(upstream);
         }
     }
 
--- a/crates/dispatch/src/route.rs
+++ b/crates/dispatch/src/route.rs
@@ -87,6 +87,8 @@
     pub headroom: u8,
     /// Starts without outcome, ascending by sequence.
     pub flights: Vec<Flight>,
+    /// Starts to be recalled with the next drain of the actions.
+    recalls: Vec<u64>,
     /// Last sequence that was used.
     pub sequence: u64,
     /// Tasks of other entries by kind, as last reported.
@@ -266,6 +268,7 @@
             allowance: u16::MAX,
             headroom: 0,
             flights: Vec::new(),
+            recalls: Vec::new(),
             sequence: 0,
             others: Box::default(),
             others_unsorted: 0,
@@ -416,6 +419,34 @@
         flight.sequence
     }
 
+    /// Notes starts to be recalled. True if they are the first that the upstream has.
+    pub fn add_recalls(
+        &mut self,
+        upstream: Upstream,
+        sequences: impl Iterator<Item = u64>,
+    ) -> bool {
+        let Some(row) = self.rows.get_mut(upstream) else {
+            return false;
+        };
+        let first = row.recalls.is_empty();
+        row.recalls.extend(sequences);
+        first && !row.recalls.is_empty()
+    }
+
+    /// Takes the starts to be recalled, ascending. Empty while the link is lost.
+    pub fn take_recalls(&mut self, upstream: Upstream) -> Vec<u64> {
+        let Some(row) = self.rows.get_mut(upstream) else {
+            return Vec::new();
+        };
+        let mut sequences = std::mem::take(&mut row.recalls);
+        if row.state == State::Suspended {
+            return Vec::new();
+        }
+        sequences.sort_unstable();
+        sequences.dedup();
+        sequences
+    }
+
     /// Records that a start has its outcome. `None` if there is no such start without outcome.
     pub fn land(&mut self, upstream: Upstream, sequence: u64) -> Option<Flight> {
         let flight = self.rows.get_mut(upstream)?.land(sequence)?;
