--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -1,15 +1,11 @@
 //! Learned run times and rates.
 
-/// Buckets of the histogram of run times; four per octave from `LOWEST_US`.
-const BUCKETS: usize = 68;
-/// Upper end of the lowest bucket, in microseconds.
-const LOWEST_US: f32 = 1_000.0;
-/// Growth of a sample's weight from one sample to the next; the newest 256 samples dominate.
-const GROWTH: f32 = 1.0 + 1.0 / 256.0;
-/// Weight at which all weights are scaled down, well inside the range of `f32`.
-const WEIGHT_LIMIT: f32 = 1e20;
 /// Run time assumed before the first run, in microseconds.
 const PRIOR_US: f32 = 300_000.0;
+/// A run counts for at most this many times the mean, so that a hanging task does not move it much.
+const OUTLIER_FACTOR: f32 = 16.0;
+/// Runs over which a mean is averaged.
+const MEMORY: u32 = 256;
 /// Groups of declared run times; the first is for work without one.
 pub const BANDS: usize = 8;
 /// Upper end of the lowest group of declared run times, in milliseconds; each is four times as wide
@@ -17,80 +13,34 @@
 const LOWEST_BAND_MS: u32 = 16;
 /// Runs after which a group's own estimate is used.
 const BAND_RUNS: u32 = 16;
-/// Runs over which a group's mean is averaged.
-const BAND_MEMORY: u32 = 256;
 /// Time constant of a rate, in microseconds. Over 1 s, rates of about 30 a second vary by a fifth.
 const RATE_US: f32 = 3_000_000.0;
 
-/// Run time of one kind of work, as a histogram in which old samples lose weight.
-#[derive(Debug, Clone)]
+/// Mean run time, in which old runs lose weight and outliers are limited.
+#[derive(Debug, Clone, Copy)]
 pub struct Estimate {
-    weights: [f32; BUCKETS],
-    total: f32,
-    step: f32,
+    runs: u32,
     mean_us: f32,
 }
 
 impl Default for Estimate {
     fn default() -> Self {
-        let mut new = Self { weights: [0.0; BUCKETS], total: 0.0, step: 1.0, mean_us: PRIOR_US };
-        new.add(PRIOR_US);
-        new
+        Self { runs: 0, mean_us: PRIOR_US }
     }
 }
 
-fn bucket(run_us: f32) -> usize {
-    let index = (run_us / LOWEST_US).max(1.0).log2() * 4.0;
-    (index as usize).min(BUCKETS - 1)
-}
-
-fn middle_us(bucket: usize) -> f32 {
-    LOWEST_US * ((bucket as f32 + 0.5) / 4.0).exp2()
-}
-
 impl Estimate {
     /// Adds a run, in microseconds.
     pub fn record(&mut self, run_us: u32) {
-        self.add(run_us as f32);
+        self.runs = (self.runs + 1).min(MEMORY);
+        let limited_us = (run_us as f32).min(self.mean_us * OUTLIER_FACTOR).max(1.0);
+        self.mean_us += (limited_us - self.mean_us) / self.runs as f32;
     }
 
-    fn add(&mut self, run_us: f32) {
-        let bucket = bucket(run_us);
-        self.step *= GROWTH;
-        self.weights[bucket] += self.step;
-        let old = self.total;
-        self.total += self.step;
-        self.mean_us = (self.mean_us * old + middle_us(bucket) * self.step) / self.total;
-        if self.step > WEIGHT_LIMIT {
-            self.rescale();
-        }
-    }
-
-    fn rescale(&mut self) {
-        for weight in &mut self.weights {
-            *weight /= WEIGHT_LIMIT;
-        }
-        self.total = self.weights.iter().sum();
-        self.step /= WEIGHT_LIMIT;
-    }
-
-    /// Mean run time in microseconds. A run longer than the histogram counts as its last bucket.
+    /// Mean run time in microseconds.
     pub fn mean_us(&self) -> u32 {
         self.mean_us as u32
     }
-
-    /// Run time in microseconds that the given fraction of runs does not exceed.
-    pub fn quantile_us(&self, fraction: f32) -> u32 {
-        let target = self.total * fraction;
-        let mut sum = 0.0;
-        for (index, weight) in self.weights.iter().enumerate() {
-            sum += weight;
-            if sum >= target && sum > 0.0 {
-                return middle_us(index) as u32;
-            }
-        }
-        middle_us(BUCKETS - 1) as u32
-    }
 }
 
 /// Group of a declared run time.
@@ -115,22 +65,14 @@
 pub struct Runs {
     /// All runs of the kind.
     pub all: Estimate,
-    bands: [Band; BANDS],
-}
-
-#[derive(Debug, Clone, Copy, Default)]
-struct Band {
-    runs: u32,
-    mean_us: f32,
+    bands: [Estimate; BANDS],
 }
 
 impl Runs {
     /// Adds a run of a group, in microseconds.
     pub fn record(&mut self, band: u8, run_us: u32) {
         self.all.record(run_us);
-        let band = &mut self.bands[usize::from(band)];
-        band.runs = (band.runs + 1).min(BAND_MEMORY);
-        band.mean_us += (run_us as f32 - band.mean_us) / band.runs as f32;
+        self.bands[usize::from(band)].record(run_us);
     }
 
     /// Mean run time of a group in microseconds; of the kind until the group has had enough runs.
@@ -139,7 +81,7 @@
         if band.runs < BAND_RUNS {
             return self.all.mean_us();
         }
-        band.mean_us as u32
+        band.mean_us()
     }
 }
 
