--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -18,6 +18,7 @@
     code::Code,
     config::{self, Held, Source, Store, Verdict},
     gate::{self, Effect, Gate},
+    member::announce::Due,
 };
 use kingcup_wire::{Announce, Document, Finish, Frame, Hello, Key, Refuse, Role, Welcome};
 use stakker::{
@@ -67,7 +68,6 @@
     listener: MioSource<TcpListener>,
     address: SocketAddr,
     port: Port,
-    announced: u64,
     callers: upstream::Callers,
     metrics: Metrics,
     stopping: bool,
@@ -119,11 +119,10 @@
             path: Arc::from("/"),
             links: Table::open(key),
             peers: Peers::default(),
-            entries: Entries::open(&settings.entries),
+            entries: Entries::open(&settings, reactor::now_us(cx)),
             listener,
             address,
             port,
-            announced: 0,
             callers,
             metrics: Metrics::open()?,
             stopping: false,
@@ -136,8 +135,8 @@
     fn tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], tick());
         let now_ms = now_ms(cx);
-        self.announce(false, now_ms);
-        for name in self.entries.forget_silent(now_ms) {
+        self.announce(reactor::now_us(cx));
+        for name in self.entries.tick(reactor::now_us(cx)) {
             self.config.forget(&name);
         }
         if self.config.tick(now_ms).contains(&self.settings.service) {
@@ -148,26 +147,26 @@
         self.settle(cx);
     }
 
-    /// Announces the upstream to entries that are due, or to all.
-    fn announce(&mut self, all: bool, now_ms: u64) {
-        let due = self.entries.due(all, now_ms);
+    /// Announces the upstream to the entries that are due.
+    fn announce(&mut self, now: u64) {
+        let due = self.entries.due(now);
         if due.is_empty() {
             return;
         }
-        self.announced += 1;
         let address = self.settings.advertise.unwrap_or(self.address).to_string();
-        let frame = Frame::Announce(Announce {
-            name: &self.settings.process.name,
-            incarnation: self.gate.incarnation(),
-            sequence: self.announced,
-            service: &self.settings.service,
-            zone: &self.settings.process.zone,
-            address: &address,
-            slots: self.settings.slots,
-            closing: self.gate.is_closing(),
-            revision: self.gate.revision(),
-        });
-        for to in due {
+        for Due { address: to, sequence, .. } in due {
+            let Ok(to) = to.parse() else { continue };
+            let frame = Frame::Announce(Announce {
+                name: &self.settings.process.name,
+                incarnation: self.gate.incarnation(),
+                sequence,
+                service: &self.settings.service,
+                zone: &self.settings.process.zone,
+                address: &address,
+                slots: self.settings.slots,
+                closing: self.gate.is_closing(),
+                revision: self.gate.revision(),
+            });
             self.metrics.sent(&frame);
             let _ = self.port.send(to, &frame);
         }
@@ -180,7 +179,7 @@
             let Some(frame) = self.port.decode(&buffer) else { continue };
             self.metrics.received(&frame);
             if let Frame::AnnounceAck(ack) = frame {
-                self.entries.acknowledged(&ack, now_ms);
+                self.entries.acknowledged(&ack, reactor::now_us(cx));
                 self.config.report(ack.from.name, &self.settings.service, ack.revision);
             }
         }
@@ -459,7 +458,7 @@
             let peer = self.peers.key(id).and_then(|key| self.peers.get(key));
             match peer {
                 Some(peer) => {
-                    let heard_ms = heard_ms.max(self.entries.heard_ms(&peer.entry));
+                    let heard_ms = heard_ms.max(self.entries.heard(&peer.entry) / 1000);
                     now_us / 1000 >= heard_ms + SILENT_MS
                 }
                 None => now_us / 1000 >= heard_ms + HELLO_MS,
@@ -522,7 +521,9 @@
         for id in links {
             self.send(id, &Frame::Closing);
         }
-        self.announce(true, now_ms(cx));
+        let now = reactor::now_us(cx);
+        self.entries.hurry(now);
+        self.announce(now);
     }
 
     fn signal(&mut self, cx: CX![], signal: i32) {
--- a/crates/node/src/sidecar/entries.rs
+++ b/crates/node/src/sidecar/entries.rs
@@ -1,113 +1,116 @@
-//! Entries that this sidecar announces its upstream to.
+//! Entries that this sidecar knows and announces its upstream to.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use kingcup_dispatch::member::{announce::Due, Announcer, Answer, Contact, Event, Members, Role};
+use kingcup_wire::{AnnounceAck, Entry};
 
-use kingcup_wire::AnnounceAck;
+use crate::settings::sidecar::Settings;
 
-use crate::settings::Peer;
-
-/// Interval of announcements until an entry asks for another, in milliseconds.
-const INTERVAL_MS: u64 = 1_000;
-/// Bounds of the interval that an entry may ask for, in milliseconds.
-const INTERVALS_MS: (u64, u64) = (200, 60_000);
-/// Intervals without an acknowledgement after which a learned entry is forgotten.
-const MISSED: u64 = 10;
-/// Most entries; more are not learned.
-const ENTRIES: usize = 256;
-
-/// One entry.
-#[derive(Debug)]
-struct Row {
-    address: SocketAddr,
-    from_settings: bool,
-    interval_ms: u64,
-    due_ms: u64,
-    heard_ms: u64,
-}
-
-/// Table of entries by name.
+/// Entries, with the schedule of announcements. Times are in microseconds.
 #[derive(Debug)]
 pub struct Entries {
-    rows: BTreeMap<String, Row>,
+    members: Members,
+    announcer: Announcer,
+    rng: fastrand::Rng,
+    service: String,
 }
 
 impl Entries {
     /// Starts with the entries of the settings, which are never forgotten.
-    pub fn open(settings: &[Peer]) -> Self {
-        let mut entries = Self { rows: BTreeMap::new() };
-        for peer in settings {
-            entries.rows.insert(peer.name.clone(), Row::open(peer.address, true, 0));
-        }
+    pub fn open(settings: &Settings, now: u64) -> Self {
+        let contact = |peer: &crate::settings::Peer| Contact {
+            name: peer.name.clone(),
+            incarnation: 0,
+            address: peer.address.to_string(),
+            zone: String::new(),
+        };
+        let process = &settings.process;
+        let contacts = settings.entries.iter().map(contact);
+        let members = Members::new(&process.name, &process.zone, contacts, now);
+        let mut entries = Self {
+            members,
+            announcer: Announcer::new(),
+            rng: fastrand::Rng::new(),
+            service: settings.service.clone(),
+        };
+        entries.announcer.sync(&entries.members, now, &mut entries.rng);
         entries
     }
 
     /// Takes an acknowledgement: the sender's address and interval, and the entries it knows.
-    pub fn acknowledged(&mut self, ack: &AnnounceAck<'_>, now_ms: u64) {
-        self.learn(ack.from.name, ack.from.address, now_ms);
-        if let Some(row) = self.rows.get_mut(ack.from.name) {
-            let (least, most) = INTERVALS_MS;
-            row.interval_ms = u64::from(ack.interval_ms).clamp(least, most);
-            row.due_ms = row.due_ms.min(now_ms + row.interval_ms);
-            row.heard_ms = now_ms;
-            if let Ok(address) = ack.from.address.parse() {
-                row.address = address;
-            }
-        }
-        for entry in &ack.entries {
-            self.learn(entry.name, entry.address, now_ms);
-        }
+    pub fn acknowledged(&mut self, ack: &AnnounceAck<'_>, now: u64) {
+        let interval_us = u64::from(ack.interval_ms) * 1000;
+        let entries: Vec<Contact> = ack.entries.iter().map(contact).collect();
+        let answer = Answer {
+            from: contact(&ack.from),
+            interval_us,
+            service: &self.service,
+            revision: ack.revision,
+            entries: &entries,
+        };
+        let events = self.members.answered(&answer, now);
+        self.log(&events);
+        self.announcer.answered(ack.from.name, interval_us);
+        self.announcer.sync(&self.members, now, &mut self.rng);
     }
 
-    fn learn(&mut self, name: &str, address: &str, now_ms: u64) {
-        if self.rows.contains_key(name) || self.rows.len() >= ENTRIES {
-            return;
-        }
-        if let Ok(address) = address.parse() {
-            log::info!("event=entry_learned entry={name} address={address}");
-            self.rows.insert(name.to_owned(), Row::open(address, false, now_ms));
-        }
+    /// Announcements to send now.
+    pub fn due(&mut self, now: u64) -> Vec<Due> {
+        self.announcer.due(now, &mut self.rng)
     }
 
-    /// Addresses that an announcement is due to. With `all`, it is due to every entry.
-    pub fn due(&mut self, all: bool, now_ms: u64) -> Vec<SocketAddr> {
-        let mut due = Vec::new();
-        for row in self.rows.values_mut() {
-            if all || row.due_ms <= now_ms {
-                row.due_ms = now_ms + row.interval_ms;
-                due.push(row.address);
-            }
-        }
-        due
+    /// Makes an announcement to every entry due now.
+    pub fn hurry(&mut self, now: u64) {
+        self.announcer.hurry(now);
+    }
+
+    /// Runs the failure detector. Gives the names of entries that have become silent.
+    pub fn tick(&mut self, now: u64) -> Vec<String> {
+        let events = self.members.tick(now);
+        self.log(&events);
+        self.announcer.sync(&self.members, now, &mut self.rng);
+        let silent = events.into_iter().filter_map(|event| match event {
+            Event::Suspected(id) => self.members.get(id).map(|row| row.name.clone()),
+            Event::Left { name, .. } => Some(name),
+            _ => None,
+        });
+        silent.collect()
     }
 
-    /// Names of the entries that no longer answer. Those that were learned are forgotten here; what
-    /// those of the settings reported no longer counts either.
-    pub fn forget_silent(&mut self, now_ms: u64) -> Vec<String> {
-        let silent = |row: &Row| now_ms >= row.heard_ms + MISSED * row.interval_ms;
-        let names: Vec<String> =
-            self.rows.iter().filter(|(_, row)| silent(row)).map(|(name, _)| name.clone()).collect();
-        for name in &names {
-            if self.rows.get(name).is_some_and(|row| !row.from_settings) {
-                self.rows.remove(name);
-                log::info!("event=entry_forgotten entry={name}");
+    fn log(&self, events: &[Event]) {
+        for event in events {
+            let (what, id) = match event {
+                Event::Joined(id) => ("entry_heard", id),
+                Event::Restarted { id, .. } => ("entry_restarted", id),
+                Event::Suspected(id) => ("entry_silent", id),
+                Event::Left { name, .. } => {
+                    log::info!("event=entry_left entry={name}");
+                    continue;
+                }
+                _ => continue,
+            };
+            if let Some(row) = self.members.get(*id) {
+                log::info!("event={what} entry={} incarnation={:x}", row.name, row.incarnation);
             }
         }
-        names
     }
 
-    /// Time at which the entry last acknowledged an announcement, in milliseconds.
-    pub fn heard_ms(&self, name: &str) -> u64 {
-        self.rows.get(name).map_or(0, |row| row.heard_ms)
+    /// Time at which the entry last acknowledged an announcement; 0 if it never did.
+    pub fn heard(&self, name: &str) -> u64 {
+        let found = self.members.find(Role::Entry, name);
+        found.and_then(|id| self.members.get(id)).map_or(0, |row| row.heard)
     }
 
-    /// Names and the times at which they were last heard, in milliseconds.
+    /// Names, and the times at which they were last heard.
     pub fn iter(&self) -> impl Iterator<Item = (&str, u64)> {
-        self.rows.iter().map(|(name, row)| (name.as_str(), row.heard_ms))
+        self.members.contacts().map(|contact| (contact.name.as_str(), self.heard(&contact.name)))
     }
 }
 
-impl Row {
-    fn open(address: SocketAddr, from_settings: bool, now_ms: u64) -> Self {
-        Self { address, from_settings, interval_ms: INTERVAL_MS, due_ms: now_ms, heard_ms: now_ms }
+fn contact(entry: &Entry<'_>) -> Contact {
+    Contact {
+        name: entry.name.to_owned(),
+        incarnation: entry.incarnation,
+        address: entry.address.to_owned(),
+        zone: String::new(),
     }
 }
--- a/crates/node/src/sidecar/status.rs
+++ b/crates/node/src/sidecar/status.rs
@@ -64,10 +64,10 @@
     peers: &Peers,
     now_ms: u64,
 ) -> Status<'a> {
-    let entry = |(name, heard_ms): (&'a str, u64)| Entry {
+    let entry = |(name, heard_us): (&'a str, u64)| Entry {
         name,
         connected: peers.iter().any(|peer| peer.entry == name),
-        silent_ms: now_ms.saturating_sub(heard_ms),
+        silent_ms: now_ms.saturating_sub(heard_us / 1000),
     };
     let revision = Some(gate.revision()).filter(|revision| *revision > 0);
     let revisions = revision.into_iter().map(|revision| (settings.service.as_str(), revision));
