Compare with a plain dispatcher in kingcup-load; print help without required options

The baseline sends the same arrivals to upstreams drawn at random, with one bounded first-in first-out queue each. The report shows both side by side, with the use of the slots and messages by type. Idle clients are reused last in first out, so that a low rate does not open a connection for each request.

--- a/crates/bench/src/bin/kingcup-bench-gate.rs
+++ b/crates/bench/src/bin/kingcup-bench-gate.rs
@@ -6,6 +6,10 @@
 const STARTS: usize = 2_000_000;
 
 fn main() {
+    if std::env::args().skip(1).any(|argument| argument == "-h" || argument == "--help") {
+        println!("Usage: kingcup-bench-gate\n\nMeasures all cases; there are no options.");
+        return;
+    }
     println!("case | gate mean ns | median | p99 | plain queue mean ns | gate over plain queue");
     for case in &CASES {
         let (gate, plain) = measure(case, STARTS);
--- a/crates/bench/src/bin/kingcup-bench-membership.rs
+++ b/crates/bench/src/bin/kingcup-bench-membership.rs
@@ -90,6 +90,10 @@
 }
 
 fn main() {
+    if std::env::args().skip(1).any(|argument| argument == "-h" || argument == "--help") {
+        println!("Usage: kingcup-bench-membership\n\nMeasures all sizes; there are no options.");
+        return;
+    }
     let numbers: HashMap<u64, u64> = (0..1_000).map(|number| (number, number)).collect();
     let baseline_ns = median(&mut || {
         (0..OPERATIONS).for_each(|at| {
--- a/crates/proof/src/bin/kingcup-capacity.rs
+++ b/crates/proof/src/bin/kingcup-capacity.rs
@@ -63,9 +63,14 @@
     options.optopt("", "sidecars", "numbers of sidecars (10,50,200)", "LIST");
     options.optopt("", "seconds", "length of each sample (20)", "NUMBER");
     options.optopt("", "callers", "callers in the loaded sample; 0 for none (16)", "NUMBER");
+    options.optflag("h", "help", "print this help");
     let usage = options.usage("Usage: kingcup-capacity [options]");
     let matches =
         options.parse(env::args().skip(1)).map_err(|error| format!("{error}\n{usage}"))?;
+    if matches.opt_present("help") {
+        print!("{usage}");
+        return Ok(());
+    }
     let list = matches.opt_str("sidecars").unwrap_or_else(|| SIDECARS.to_owned());
     let length = Duration::from_secs(matches.opt_get_default("seconds", SECONDS)?);
     let callers = matches.opt_get_default("callers", 16)?;
--- a/crates/proof/src/bin/kingcup-soak.rs
+++ b/crates/proof/src/bin/kingcup-soak.rs
@@ -58,9 +58,14 @@
     options.optopt("", "seconds", "length of the whole (600)", "NUMBER");
     options.optopt("", "seed", "seed of the first run (random); each run adds one", "NUMBER");
     options.optopt("", "runs", "most runs", "NUMBER");
+    options.optflag("h", "help", "print this help");
     let usage = options.usage("Usage: kingcup-soak [options]");
     let matches =
         options.parse(env::args().skip(1)).map_err(|error| format!("{error}\n{usage}"))?;
+    if matches.opt_present("help") {
+        print!("{usage}");
+        return Ok(true);
+    }
     let length = Duration::from_secs(matches.opt_get_default("seconds", SECONDS)?);
     let first = matches.opt_get_default("seed", fastrand::u64(..))?;
     let runs = matches.opt_get_default("runs", u64::MAX)?;
--- a/crates/standin/tests/proxy.rs
+++ b/crates/standin/tests/proxy.rs
@@ -281,3 +281,14 @@
     server.unblock();
     thread.join().unwrap();
 }
+
+/// Guards against a help that asks for the required options first.
+#[test]
+fn help_needs_no_other_option() {
+    let program = env!("CARGO_BIN_EXE_kingcup-fault-proxy");
+    let output = std::process::Command::new(program).arg("--help").output().unwrap();
+    assert!(output.status.success());
+    assert!(String::from_utf8(output.stdout).unwrap().contains("--target"));
+    let output = std::process::Command::new(program).output().unwrap();
+    assert!(!output.status.success());
+}
--- a/crates/tools/src/bin/kingcup-load.rs
+++ b/crates/tools/src/bin/kingcup-load.rs
@@ -3,12 +3,17 @@
 use std::{env, error::Error, fs, net::SocketAddr, process::ExitCode, time::Duration};
 
 use getopts::Matches;
-use kingcup_tools::load::{self, workload::Workload, Options};
+use kingcup_tools::load::{self, baseline::Plan, workload::Workload, Options};
 
 /// Most requests in flight unless told otherwise.
 const THREADS: usize = 512;
 /// Longest wait for a response unless told otherwise, in seconds.
 const TIMEOUT_S: u64 = 60;
+/// Tasks at once at each upstream by the baseline unless told otherwise.
+const SLOTS_PER_UPSTREAM: usize = 8;
+/// Tasks that wait for each upstream by the baseline unless told otherwise: a tenth of what the
+/// kinds of the sample service may have waiting together.
+const QUEUE_PER_UPSTREAM: usize = 480;
 
 fn main() -> ExitCode {
     env_logger::init();
@@ -23,20 +28,38 @@
 
 fn run() -> Result<(), Box<dyn Error>> {
     let mut options = getopts::Options::new();
-    options.reqopt("w", "workload", "workload file in JSON", "FILE");
+    options.optopt("w", "workload", "workload file in JSON", "FILE");
     options.optmulti("e", "entry", "callers' address of an entry", "ADDRESS");
     options.optmulti("a", "admin", "operators' address of a daemon, for messages", "ADDRESS");
     options.optmulti("u", "upstream", "address of an upstream stand-in, for starts", "ADDRESS");
     options.optopt("", "threads", "most requests in flight (512)", "NUMBER");
     options.optopt("", "timeout", "longest wait for a response (60)", "SECONDS");
     options.optflag("", "any-entry", "send jobs to entries in turn, not to their home");
+    options.optopt("", "seed", "seed in place of the workload's", "NUMBER");
+    options.optflag(
+        "",
+        "baseline",
+        "repeat the run with a plain dispatcher, directly to the upstreams",
+    );
+    options.optopt("", "slots-per-upstream", "baseline: tasks at once (8)", "NUMBER");
+    options.optopt("", "queue-per-upstream", "baseline: most tasks waiting (480)", "NUMBER");
     options.optflag("", "json", "print the report in JSON");
+    options.optflag("h", "help", "print this help");
     let usage = options.usage("Usage: kingcup-load --workload FILE --entry ADDRESS [options]");
     let matches =
         options.parse(env::args().skip(1)).map_err(|error| format!("{error}\n{usage}"))?;
-    let path = matches.opt_str("workload").ok_or("no workload")?;
+    if matches.opt_present("help") {
+        print!("{usage}");
+        return Ok(());
+    }
+    let path = matches.opt_str("workload").ok_or(format!("no workload\n{usage}"))?;
     let text = fs::read_to_string(&path).map_err(|error| format!("{path}: {error}"))?;
-    let workload = Workload::read(&text)?;
+    let mut workload = Workload::read(&text)?;
+    workload.seed = matches.opt_get_default("seed", workload.seed)?;
+    let plan = Plan {
+        slots_per_upstream: matches.opt_get_default("slots-per-upstream", SLOTS_PER_UPSTREAM)?,
+        queue_per_upstream: matches.opt_get_default("queue-per-upstream", QUEUE_PER_UPSTREAM)?,
+    };
     let options = Options {
         entries: addresses(&matches, "entry")?,
         admins: addresses(&matches, "admin")?,
@@ -44,6 +67,7 @@
         threads: matches.opt_get_default("threads", THREADS)?,
         timeout: Duration::from_secs(matches.opt_get_default("timeout", TIMEOUT_S)?),
         any_entry: matches.opt_present("any-entry"),
+        baseline: matches.opt_present("baseline").then_some(plan),
     };
     let report = load::run(&workload, &options)?;
     match matches.opt_present("json") {
--- a/crates/tools/src/load.rs
+++ b/crates/tools/src/load.rs
@@ -3,6 +3,8 @@
 //! Arrivals are open-loop: their times are drawn before the run and do not wait for responses. A
 //! response time counts from the drawn time, so a tool or a system that falls behind shows in it.
 
+pub mod baseline;
+pub mod busy;
 pub mod client;
 pub mod ledger;
 pub mod metrics;
@@ -10,13 +12,22 @@
 pub mod schedule;
 pub mod workload;
 
-use std::{net::SocketAddr, sync::mpsc, thread, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        mpsc, Mutex, PoisonError,
+    },
+    thread,
+    time::Duration,
+};
 
 use displaydoc::Display;
 
-use client::{Client, Sample};
-use ledger::Ledger;
-use report::{Report, Sums};
+use baseline::Plan;
+use client::{Client, Clock, Sample};
+use ledger::{Ledger, Start};
+use report::{Comparison, Report, Sums};
 use schedule::Arrival;
 use workload::Workload;
 
@@ -35,6 +46,8 @@
     pub timeout: Duration,
     /// Sends jobs to entries in turn instead of to their home.
     pub any_entry: bool,
+    /// Sends the same arrivals a second time to the upstreams by the baseline's policy.
+    pub baseline: Option<Plan>,
 }
 
 /// Why a run gave no report.
@@ -46,52 +59,109 @@
     Unreachable(SocketAddr, String),
     /// no entries to send to
     NoEntries,
+    /// the baseline needs the addresses of the upstreams
+    NoUpstreams,
     /// threads could not be started: {0}
     Threads(std::io::Error),
 }
 
 impl std::error::Error for Fault {}
 
-/// Runs a workload and reports on it.
+/// Runs a workload and reports on it, beside the baseline if the options ask for one.
 ///
 /// # Errors
 ///
 /// If a daemon or stand-in named in the options cannot be read, or no thread can be started.
-pub fn run(workload: &Workload, options: &Options) -> Result<Report, Fault> {
+pub fn run(workload: &Workload, options: &Options) -> Result<Comparison, Fault> {
     if options.entries.is_empty() {
         return Err(Fault::NoEntries);
     }
+    if options.baseline.is_some() && options.upstreams.is_empty() {
+        return Err(Fault::NoUpstreams);
+    }
     let arrivals = schedule::draw(workload);
+    let ours = run_entries(workload, options, &arrivals)?;
+    let baseline = match &options.baseline {
+        Some(plan) => Some(run_baseline(workload, options, plan, &arrivals)?),
+        None => None,
+    };
+    Ok(Comparison { ours, baseline })
+}
+
+fn run_entries(
+    workload: &Workload,
+    options: &Options,
+    arrivals: &[Arrival],
+) -> Result<Report, Fault> {
     let before = metrics::read_all(&options.admins)?;
-    let samples = send(workload, options, &arrivals)?;
+    let clock = Clock::start();
+    let samples = send(workload, options, arrivals, clock)?;
     let after = metrics::read_all(&options.admins)?;
-    let starts = ledger::read_all(&options.upstreams)?;
-    let ledger = (!options.upstreams.is_empty()).then(|| Ledger::open(&starts, &samples));
-    let messages = (!options.admins.is_empty()).then_some(after.messages - before.messages);
-    let sums = Sums { messages, ledger };
-    Ok(Report::open(workload, &arrivals, &samples, sums))
+    let starts = ledger::read_ended(&options.upstreams)?;
+    let mut sums = sums(workload, options, &starts, &samples, clock);
+    if !options.admins.is_empty() {
+        sums.messages = Some(after.messages - before.messages);
+        sums.by_type = after.since(&before);
+    }
+    Ok(Report::open(workload, arrivals, &samples, sums))
+}
+
+fn run_baseline(
+    workload: &Workload,
+    options: &Options,
+    plan: &Plan,
+    arrivals: &[Arrival],
+) -> Result<Report, Fault> {
+    let clock = Clock::start();
+    let samples = baseline::send(workload, options, plan, arrivals, clock)?;
+    let mut starts = ledger::read_ended(&options.upstreams)?;
+    starts.retain(|start| baseline::is_own(&start.job));
+    let sums = sums(workload, options, &starts, &samples, clock);
+    Ok(Report::open(workload, arrivals, &samples, sums))
+}
+
+fn sums(
+    workload: &Workload,
+    options: &Options,
+    starts: &[Start],
+    samples: &[Sample],
+    clock: Clock,
+) -> Sums {
+    if options.upstreams.is_empty() {
+        return Sums::default();
+    }
+    let ledger = Some(Ledger::open(starts, samples));
+    Sums { ledger, busy: busy::by_phase(workload, starts, clock.origin_us()), ..Sums::default() }
 }
 
 fn send(
     workload: &Workload,
     options: &Options,
     arrivals: &[Arrival],
+    clock: Clock,
 ) -> Result<Vec<Sample>, Fault> {
     let (results, samples) = mpsc::channel();
     let (work, queue) = mpsc::channel::<usize>();
-    let queue = std::sync::Mutex::new(queue);
-    let clock = client::Clock::start();
+    let queue = Mutex::new(queue);
+    // The client used last is taken first, so that few connections carry a low rate.
+    let idle = Mutex::new(Vec::<Client<'_>>::new());
+    let opened = AtomicUsize::new(0);
     thread::scope(|scope| {
-        for number in 0..options.threads.max(1) {
-            let (results, queue) = (results.clone(), &queue);
-            let mut client = Client::open(workload, options, number);
+        for _ in 0..options.threads.max(1) {
+            let results = results.clone();
+            let (queue, idle, opened) = (&queue, &idle, &opened);
             let serve = move || loop {
                 let next = match queue.lock() {
                     Ok(queue) => queue.recv(),
                     Err(_) => return,
                 };
                 let Ok(index) = next else { return };
+                let free = idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
+                let mut client = free.unwrap_or_else(|| {
+                    Client::open(workload, options, opened.fetch_add(1, Ordering::Relaxed))
+                });
                 let _ = results.send(client.send(index, &arrivals[index], clock));
+                idle.lock().unwrap_or_else(PoisonError::into_inner).push(client);
             };
             thread::Builder::new()
                 .stack_size(client::STACK_BYTES)
--- a/crates/tools/src/load/client.rs
+++ b/crates/tools/src/load/client.rs
@@ -21,12 +21,13 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
     start: Instant,
+    origin_us: u64,
 }
 
 impl Clock {
     /// Starts a run.
     pub fn start() -> Self {
-        Self { start: Instant::now() }
+        Self { start: Instant::now(), origin_us: monotonic_us() }
     }
 
     /// Time since the start, in microseconds.
@@ -34,6 +35,11 @@
         self.start.elapsed().as_micros() as u64
     }
 
+    /// The start on the system's monotonic clock, in microseconds.
+    pub fn origin_us(self) -> u64 {
+        self.origin_us
+    }
+
     /// Waits until a time after the start.
     pub fn wait_until(self, at_us: u64) {
         let due = self.start + Duration::from_micros(at_us);
@@ -41,6 +47,15 @@
     }
 }
 
+/// The system's monotonic clock, which the upstream stand-ins also use, in microseconds.
+fn monotonic_us() -> u64 {
+    let mut time = libc::timespec { tv_sec: 0, tv_nsec: 0 };
+    // SAFETY: the call only writes to the structure it is given.
+    let result = unsafe { libc::clock_gettime(libc::CLOCK_MONOTONIC, &mut time) };
+    assert_eq!(result, 0, "no monotonic clock: {}", std::io::Error::last_os_error());
+    time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000
+}
+
 /// What came of one submission.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Sample {
@@ -81,7 +96,7 @@
 
 /// Instruction for the upstream stand-in.
 #[derive(Serialize)]
-struct Payload {
+pub(super) struct Payload {
     sleep_ms: f64,
     echo: String,
 }
@@ -206,11 +221,11 @@
     }
 }
 
-fn marker(index: usize, task: usize) -> String {
+pub(super) fn marker(index: usize, task: usize) -> String {
     format!("{index}/{task}")
 }
 
-fn payload(index: usize, task: usize, arrival: &Arrival) -> Payload {
+pub(super) fn payload(index: usize, task: usize, arrival: &Arrival) -> Payload {
     Payload { sleep_ms: arrival.run_us[task] as f64 / 1e3, echo: marker(index, task) }
 }
 
--- a/crates/tools/src/load/ledger.rs
+++ b/crates/tools/src/load/ledger.rs
@@ -1,12 +1,22 @@
 //! Compares what upstreams ran with what callers were told.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    thread,
+    time::{Duration, Instant},
+};
 
 use kingcup_dispatch::code::Fate;
 use serde::{Deserialize, Serialize};
 
 use super::{client::Sample, metrics, Fault};
 
+/// Longest wait for starts to end after the last response.
+const END_WAIT: Duration = Duration::from_secs(15);
+/// Time between two looks at whether starts have ended.
+const END_INTERVAL: Duration = Duration::from_millis(500);
+
 /// A start as an upstream stand-in reports it.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 pub struct Start {
@@ -14,6 +24,10 @@
     pub job: String,
     /// Index of the task; none if the sidecar did not send it.
     pub task: Option<u16>,
+    /// Time of the start on the system's monotonic clock, in microseconds.
+    pub start_us: u64,
+    /// Time of the end; none while it runs.
+    pub end_us: Option<u64>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -59,6 +73,24 @@
     Ok(starts)
 }
 
+/// Reads the starts of all upstreams once they have ended, or at most `END_WAIT` later: a task may
+/// outlast the answer to its job.
+///
+/// # Errors
+///
+/// `Unreachable` if one cannot be read.
+pub fn read_ended(upstreams: &[SocketAddr]) -> Result<Vec<Start>, Fault> {
+    let begun = Instant::now();
+    loop {
+        let starts = read_all(upstreams)?;
+        let ended = starts.iter().all(|start| start.end_us.is_some());
+        if ended || begun.elapsed() >= END_WAIT {
+            return Ok(starts);
+        }
+        thread::sleep(END_INTERVAL);
+    }
+}
+
 impl Ledger {
     /// Compares starts with responses. Starts of other callers' jobs count as starts and doubles.
     pub fn open(starts: &[Start], samples: &[Sample]) -> Self {
--- a/crates/tools/src/load/report.rs
+++ b/crates/tools/src/load/report.rs
@@ -7,8 +7,10 @@
 use serde::Serialize;
 
 use super::{
+    busy::Busy,
     client::Sample,
     ledger::Ledger,
+    metrics::Count,
     schedule::Arrival,
     workload::{Phase, Workload},
 };
@@ -21,12 +23,16 @@
 const RATIO_UNIT: f64 = 1_000.0;
 
 /// Sums that do not come from responses.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Sums {
     /// Messages between the system's processes during the run, if metrics were read.
     pub messages: Option<f64>,
+    /// The same by type.
+    pub by_type: Vec<Count>,
     /// Comparison with the upstreams, if they were read.
     pub ledger: Option<Ledger>,
+    /// Use of the slots by phase, if the upstreams were read.
+    pub busy: Vec<Busy>,
 }
 
 /// Figures of one kind in one phase.
@@ -98,10 +104,24 @@
     pub messages: Option<f64>,
     /// Messages for each start at an upstream, if known.
     pub messages_per_start: Option<f64>,
+    /// Messages by type.
+    pub by_type: Vec<Count>,
+    /// Use of the slots by phase, if known.
+    pub busy: Vec<Busy>,
     /// Comparison of starts with responses, if known.
     pub ledger: Option<Ledger>,
 }
 
+/// Figures of a run, and of the baseline under the same arrivals.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Comparison {
+    /// Ours.
+    #[serde(flatten)]
+    pub ours: Report,
+    /// The baseline's, if it was run.
+    pub baseline: Option<Report>,
+}
+
 /// A submission sent later than this counts as late, in microseconds.
 const LATE_US: u64 = 10_000;
 /// Name of the row over all kinds.
@@ -134,6 +154,8 @@
             sent_late: samples.iter().filter(|sample| sample.late_us > LATE_US).count() as u64,
             messages: sums.messages,
             messages_per_start: per_start,
+            by_type: sums.by_type,
+            busy: sums.busy,
             ledger: sums.ledger,
         }
     }
@@ -215,39 +237,80 @@
     row.complete_tasks as f64 / row.offered_tasks as f64
 }
 
+/// Label of our figures in the report.
+const OURS: &str = "ours";
+/// Label of the baseline's figures in the report.
+const BASELINE: &str = "baseline";
+
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "seed {}, sent late {}", self.seed, self.sent_late)?;
-        writeln!(
-            f,
-            "{:12} {:16} {:>8} {:>8} {:>8} {:>7} {:>7} {:>7} {:>9} {:>9} {:>7} {:>7} {:>7} {:>7} {:>8}",
-            "phase", "kind", "offered", "complete", "not run", "may run", "failed", "broken",
-            "p50 ms", "p99 ms", "x p50", "x p90", "x p99", "x max", "ref. ms"
-        )?;
-        for row in &self.rows {
-            writeln!(
-                f,
-                "{:12} {:16} {:>8} {:>8} {:>8} {:>7} {:>7} {:>7} {:>9.1} {:>9.1} {:>7.3} {:>7.3} {:>7.3} {:>7.2} {:>8.2}",
-                row.phase, row.kind, row.offered, row.complete, row.not_run, row.may_have_run,
-                row.failed, row.broken, row.response_p50_ms, row.response_p99_ms, row.ratio_p50,
-                row.ratio_p90, row.ratio_p99, row.ratio_max, row.refusal_p50_ms
-            )?;
+        write_header(f)?;
+        self.rows.iter().try_for_each(|row| write_row(f, OURS, row))?;
+        self.write_sums(f, OURS)
+    }
+}
+
+impl fmt::Display for Comparison {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Some(baseline) = &self.baseline else { return self.ours.fmt(f) };
+        write_header(f)?;
+        // Both reports have a row for each phase and kind, in the same order.
+        for (ours, other) in self.ours.rows.iter().zip(&baseline.rows) {
+            write_row(f, OURS, ours)?;
+            write_row(f, BASELINE, other)?;
         }
+        self.ours.write_sums(f, OURS)?;
+        baseline.write_sums(f, BASELINE)
+    }
+}
+
+fn write_header(f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    writeln!(
+        f,
+        "{:8} {:24} {:9} {:>7} {:>8} {:>7} {:>7} {:>6} {:>6} {:>8} {:>8} {:>7} {:>7} {:>7} {:>7} {:>8} {:>8}",
+        "phase", "kind", "system", "offered", "complete", "not run", "may run", "failed", "broken",
+        "p50 ms", "p99 ms", "x p50", "x p90", "x p99", "x max", "ref. p50", "ref. p99"
+    )
+}
+
+fn write_row(f: &mut fmt::Formatter<'_>, system: &str, row: &Row) -> fmt::Result {
+    writeln!(
+        f,
+        "{:8} {:24} {:9} {:>7} {:>8} {:>7} {:>7} {:>6} {:>6} {:>8.1} {:>8.1} {:>7.3} {:>7.3} {:>7.3} {:>7.2} {:>8.2} {:>8.2}",
+        row.phase, row.kind, system, row.offered, row.complete, row.not_run, row.may_have_run,
+        row.failed, row.broken, row.response_p50_ms, row.response_p99_ms, row.ratio_p50,
+        row.ratio_p90, row.ratio_p99, row.ratio_max, row.refusal_p50_ms, row.refusal_p99_ms
+    )
+}
+
+impl Report {
+    /// Writes what does not belong to one kind, each line under a label.
+    fn write_sums(&self, f: &mut fmt::Formatter<'_>, system: &str) -> fmt::Result {
+        writeln!(f, "{system}: seed {}, sent late {}", self.seed, self.sent_late)?;
         for kept in &self.kept {
             let Kept { phase, kind, complete, ratio_p99 } = kept;
             let percent = complete * 100.0;
-            writeln!(f, "{phase}: {kind} keeps {percent:.1}% complete, p99 times {ratio_p99:.2}")?;
+            writeln!(
+                f,
+                "{system}: {phase}: {kind} keeps {percent:.1}% complete, p99 times {ratio_p99:.2}"
+            )?;
+        }
+        for Busy { phase, percent } in &self.busy {
+            writeln!(f, "{system}: {phase}: slots busy {percent:.1}%")?;
         }
         if let Some(messages) = self.messages {
-            writeln!(f, "messages {messages}")?;
+            writeln!(f, "{system}: messages {messages}")?;
+            for Count { name, messages } in &self.by_type {
+                writeln!(f, "{system}: messages of type {name} {messages}")?;
+            }
         }
         if let Some(per_start) = self.messages_per_start {
-            writeln!(f, "messages per start {per_start:.3}")?;
+            writeln!(f, "{system}: messages per start {per_start:.3}")?;
         }
         if let Some(ledger) = &self.ledger {
             writeln!(
                 f,
-                "starts {}, doubles {}, missing {}, untrue refusals {}, losses {}, wrong answers {}",
+                "{system}: starts {}, doubles {}, missing {}, untrue refusals {}, losses {}, wrong answers {}",
                 ledger.starts, ledger.doubles, ledger.missing, ledger.untrue_refusals,
                 ledger.losses, ledger.wrong_answers
             )?;
--- a/crates/tools/tests/load.rs
+++ b/crates/tools/tests/load.rs
@@ -1,13 +1,19 @@
 //! The load tool draws what the workload says and reports what happened.
 
+use std::{net::SocketAddr, process::Command, time::Duration};
+
 use kingcup_dispatch::code::Code;
+use kingcup_standin::upstream::{Control, Server};
 use kingcup_tools::load::{
-    client::Sample,
-    ledger::{Ledger, Start},
-    metrics,
-    report::{Report, Sums},
+    baseline::{self, Plan},
+    busy,
+    client::{Clock, Sample},
+    ledger::{self, Ledger, Start},
+    metrics::{self, Count, Reading},
+    report::{Comparison, Report, Sums},
     schedule::{draw, Arrival},
     workload::Workload,
+    Options,
 };
 use rstest::rstest;
 
@@ -127,7 +133,7 @@
 }
 
 fn start(job: &str, task: u16) -> Start {
-    Start { job: job.to_owned(), task: Some(task) }
+    Start { job: job.to_owned(), task: Some(task), start_us: 0, end_us: Some(1) }
 }
 
 /// Guards against doubles, missing starts and untrue refusals that go uncounted.
@@ -169,7 +175,7 @@
         sample(4, "e", 150_000, None),
     ];
     let ledger = Some(Ledger { starts: 6, ..Ledger::default() });
-    let sums = Sums { messages: Some(12.0), ledger };
+    let sums = Sums { messages: Some(12.0), ledger, ..Sums::default() };
     let report = Report::open(&workload, &arrivals, &samples, sums);
     let row = |phase: &str, kind: &str| {
         report.rows.iter().find(|row| row.phase == phase && row.kind == kind).unwrap()
@@ -188,9 +194,166 @@
     assert_eq!(report.messages_per_start, Some(2.0));
 }
 
-/// Guards against a sample workload that the tool rejects.
-#[test]
-fn sample_workload_is_valid() {
-    let workload = Workload::read(include_str!("../workloads/flood.json")).unwrap();
+/// Guards against sample workloads that the tool rejects.
+#[rstest]
+#[case::flood(include_str!("../workloads/flood.json"))]
+#[case::load_70(include_str!("../workloads/load-70.json"))]
+#[case::load_90(include_str!("../workloads/load-90.json"))]
+#[case::flood_least_urgent(include_str!("../workloads/flood-least-urgent.json"))]
+#[case::flood_most_urgent(include_str!("../workloads/flood-most-urgent.json"))]
+fn sample_workload_is_valid(#[case] text: &str) {
+    let workload = Workload::read(text).unwrap();
     assert!(!draw(&workload).is_empty());
 }
+
+/// Mean work that a workload offers in a phase, as a part of all slots.
+fn offered(workload: &Workload, phase: usize) -> f64 {
+    let slots = workload.kinds.iter().map(|kind| {
+        let weight: f64 = kind.run_ms.iter().map(|range| range.weight).sum();
+        let run_ms = kind.run_ms.iter().map(|range| range.weight * (range.min + range.max) / 2.0);
+        let tasks = (kind.min_tasks + kind.max_tasks) as f64 / 2.0;
+        let rate_per_s = kind.rate_per_s * workload.phases[phase].factor(&kind.name);
+        rate_per_s * tasks * run_ms.sum::<f64>() / weight / 1e3
+    });
+    slots.sum::<f64>() / f64::from(workload.slots)
+}
+
+/// Guards against workload files whose load is not the one that they are named after.
+#[rstest]
+#[case::load_70(include_str!("../workloads/load-70.json"), 1, 0.7)]
+#[case::load_90(include_str!("../workloads/load-90.json"), 1, 0.9)]
+#[case::flood_least_urgent(include_str!("../workloads/flood-least-urgent.json"), 2, 10.0)]
+#[case::flood_most_urgent(include_str!("../workloads/flood-most-urgent.json"), 2, 10.0)]
+fn workload_offers_its_nominal_load(
+    #[case] text: &str,
+    #[case] phase: usize,
+    #[case] nominal: f64,
+) {
+    let part = offered(&Workload::read(text).unwrap(), phase);
+    assert!((part / nominal - 1.0).abs() < 0.01, "{part}");
+}
+
+/// Guards against use of slots that counts time outside a phase or in the warm-up.
+#[test]
+fn slots_are_busy_only_within_each_phase() {
+    let mut workload = workload();
+    workload.phases[0].warm_up = true;
+    let run = |start_us, end_us| Start { start_us, end_us, ..start("a", 0) };
+    let second_us = 1_000_000;
+    let starts = [
+        run(105 * second_us, Some(125 * second_us)),
+        run(122 * second_us, Some(124 * second_us)),
+        run(129 * second_us, None),
+        run(140 * second_us, Some(150 * second_us)),
+    ];
+    let busy = busy::by_phase(&workload, &starts, 100 * second_us);
+    assert_eq!(busy.len(), 1);
+    assert_eq!(busy[0].phase, "flood");
+    assert!((busy[0].percent - 8.0).abs() < 1e-9, "{}", busy[0].percent);
+}
+
+/// Guards against messages from before the run being counted by type.
+#[test]
+fn types_count_from_the_start_of_the_run() {
+    let count = |name: &str, messages| Count { name: name.to_owned(), messages };
+    let before =
+        Reading { messages: 5.0, by_type: vec![count("finish", 2.0), count("hello", 3.0)] };
+    let by_type = vec![count("finish", 6.0), count("hello", 3.0), count("start", 4.0)];
+    let after = Reading { messages: 13.0, by_type };
+    assert_eq!(after.since(&before), [count("finish", 4.0), count("start", 4.0)]);
+}
+
+/// Arrivals of one kind at the same time, each of `tasks` tasks of `run_ms`.
+fn burst(jobs: usize, tasks: usize, run_ms: u64) -> Vec<Arrival> {
+    let run_us = vec![run_ms * 1_000; tasks];
+    vec![Arrival { at_us: 0, phase: 0, kind: 0, run_us }; jobs]
+}
+
+fn baseline_samples(arrivals: &[Arrival], queue_per_upstream: usize) -> (Vec<Sample>, Vec<Start>) {
+    let servers: Vec<_> =
+        (0..2).map(|_| Server::open(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap()).collect();
+    let upstreams: Vec<_> = servers.iter().map(Server::address).collect();
+    let timeout = Duration::from_secs(30);
+    let options = Options { upstreams, timeout, ..Options::default() };
+    let plan = Plan { slots_per_upstream: 2, queue_per_upstream };
+    let sent = baseline::send(&workload(), &options, &plan, arrivals, Clock::start()).unwrap();
+    (sent, ledger::read_ended(&options.upstreams).unwrap())
+}
+
+/// Guards against a baseline that loses or repeats tasks, answers before all tasks of a job have
+/// ended, or runs more tasks at once than it has slots.
+#[test]
+fn baseline_runs_each_task_once_within_its_slots() {
+    let arrivals = burst(10, 3, 20);
+    let (samples, starts) = baseline_samples(&arrivals, 1_000);
+    assert_eq!(samples.len(), 10);
+    assert!(samples.iter().all(|sample| sample.code == Some(Code::Complete) && !sample.wrong));
+    assert!(samples.iter().all(|sample| sample.response_us >= 20_000));
+    assert!(starts.iter().all(|start| baseline::is_own(&start.job)));
+    let expected = Ledger { starts: 30, ..Ledger::default() };
+    assert_eq!(Ledger::open(&starts, &samples), expected);
+    let most = starts.iter().map(|start| {
+        let runs = |other: &&Start| {
+            other.start_us <= start.start_us && start.start_us < other.end_us.unwrap()
+        };
+        starts.iter().filter(runs).count()
+    });
+    assert!(most.max() <= Some(4));
+}
+
+/// Guards against a baseline with unbounded queues, and against refused jobs of which a task ran.
+#[test]
+fn baseline_refuses_whole_jobs_when_a_queue_is_full() {
+    let arrivals = burst(40, 2, 100);
+    let (samples, starts) = baseline_samples(&arrivals, 4);
+    let count = |code| samples.iter().filter(|sample| sample.code == Some(code)).count();
+    let (complete, refused) = (count(Code::Complete), count(Code::QueueFull));
+    assert_eq!(complete + refused, 40);
+    assert!(complete > 0 && refused > 0, "{complete} complete, {refused} refused");
+    let expected = Ledger { starts: 2 * complete as u64, ..Ledger::default() };
+    assert_eq!(Ledger::open(&starts, &samples), expected);
+}
+
+/// Guards against a baseline that reports failed tasks as complete jobs.
+#[test]
+fn baseline_reports_failures() {
+    let server = Server::open(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    server.control(&Control { fail: Some(true), ..Control::default() });
+    let upstreams = vec![server.address()];
+    let timeout = Duration::from_secs(30);
+    let options = Options { upstreams, timeout, ..Options::default() };
+    let plan = Plan { slots_per_upstream: 2, queue_per_upstream: 10 };
+    let arrivals = burst(1, 2, 1);
+    let sent = baseline::send(&workload(), &options, &plan, &arrivals, Clock::start()).unwrap();
+    assert_eq!(sent.len(), 1);
+    assert_eq!(sent[0].code, Some(Code::TaskFailed));
+}
+
+/// Guards against a report that drops or mislabels the baseline, in text or in JSON.
+#[test]
+fn report_shows_both_side_by_side() {
+    let arrivals = burst(1, 2, 100);
+    let report = |response_us| {
+        let samples = [sample(0, "a", response_us, Some(Code::Complete))];
+        Report::open(&workload(), &arrivals, &samples, Sums::default())
+    };
+    let both = Comparison { ours: report(110_000), baseline: Some(report(200_000)) };
+    let text = both.to_string();
+    let ours = text.lines().position(|line| line.contains("correction") && line.contains("ours"));
+    let line = text.lines().nth(ours.unwrap() + 1).unwrap();
+    assert!(line.contains("correction") && line.contains("baseline"), "{line}");
+    let json = serde_json::to_value(&both).unwrap();
+    let ratio = |report: &serde_json::Value| report["rows"][0]["ratio_p50"].as_f64().unwrap();
+    assert!(ratio(&json) < 1.2 && ratio(&json["baseline"]) > 1.9, "{json}");
+}
+
+/// Guards against a help that asks for the required options first.
+#[test]
+fn help_needs_no_other_option() {
+    let program = env!("CARGO_BIN_EXE_kingcup-load");
+    let output = Command::new(program).arg("--help").output().unwrap();
+    assert!(output.status.success());
+    assert!(String::from_utf8(output.stdout).unwrap().contains("--baseline"));
+    let output = Command::new(program).output().unwrap();
+    assert!(!output.status.success());
+}
