Hand arrivals to caller threads in parallel in kingcup-load

Cause: one mutex was held over a blocking receive, so each arrival cost a context switch between caller threads in turn.

--- a/crates/tools/src/load.rs
+++ b/crates/tools/src/load.rs
@@ -13,10 +13,11 @@
 pub mod workload;
 
 use std::{
+    collections::VecDeque,
     net::SocketAddr,
     sync::{
         atomic::{AtomicUsize, Ordering},
-        mpsc, Mutex, PoisonError,
+        mpsc, Condvar, Mutex, MutexGuard, PoisonError,
     },
     thread,
     time::Duration,
@@ -134,6 +135,51 @@
     Sums { ledger, busy: busy::by_phase(workload, starts, clock.origin_us()), ..Sums::default() }
 }
 
+/// Arrivals that wait for a caller thread. The lock is held only to add or take one: handing a
+/// blocking receiver from thread to thread instead costs a context switch for each arrival in turn,
+/// which on a busy machine delays all arrivals of a flood.
+#[derive(Default)]
+struct Due {
+    state: Mutex<DueState>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct DueState {
+    arrivals: VecDeque<usize>,
+    closed: bool,
+}
+
+impl Due {
+    fn lock(&self) -> MutexGuard<'_, DueState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn push(&self, arrival: usize) {
+        self.lock().arrivals.push_back(arrival);
+        self.changed.notify_one();
+    }
+
+    fn close(&self) {
+        self.lock().closed = true;
+        self.changed.notify_all();
+    }
+
+    /// Waits for the next arrival; none once there will be no more.
+    fn pop(&self) -> Option<usize> {
+        let mut state = self.lock();
+        loop {
+            if let Some(arrival) = state.arrivals.pop_front() {
+                return Some(arrival);
+            }
+            if state.closed {
+                return None;
+            }
+            state = self.changed.wait(state).unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+}
+
 fn send(
     workload: &Workload,
     options: &Options,
@@ -141,40 +187,37 @@
     clock: Clock,
 ) -> Result<Vec<Sample>, Fault> {
     let (results, samples) = mpsc::channel();
-    let (work, queue) = mpsc::channel::<usize>();
-    let queue = Mutex::new(queue);
+    let due = Due::default();
     // The client used last is taken first, so that few connections carry a low rate.
     let idle = Mutex::new(Vec::<Client<'_>>::new());
     let opened = AtomicUsize::new(0);
-    thread::scope(|scope| {
-        for _ in 0..options.threads.max(1) {
+    let sent = thread::scope(|scope| {
+        let started = (0..options.threads.max(1)).try_for_each(|_| {
             let results = results.clone();
-            let (queue, idle, opened) = (&queue, &idle, &opened);
-            let serve = move || loop {
-                let next = match queue.lock() {
-                    Ok(queue) => queue.recv(),
-                    Err(_) => return,
-                };
-                let Ok(index) = next else { return };
-                let free = idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
-                let mut client = free.unwrap_or_else(|| {
-                    Client::open(workload, options, opened.fetch_add(1, Ordering::Relaxed))
-                });
-                let _ = results.send(client.send(index, &arrivals[index], clock));
-                idle.lock().unwrap_or_else(PoisonError::into_inner).push(client);
+            let (due, idle, opened) = (&due, &idle, &opened);
+            let serve = move || {
+                while let Some(index) = due.pop() {
+                    let free = idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
+                    let mut client = free.unwrap_or_else(|| {
+                        Client::open(workload, options, opened.fetch_add(1, Ordering::Relaxed))
+                    });
+                    let _ = results.send(client.send(index, &arrivals[index], clock));
+                    idle.lock().unwrap_or_else(PoisonError::into_inner).push(client);
+                }
             };
-            thread::Builder::new()
-                .stack_size(client::STACK_BYTES)
-                .spawn_scoped(scope, serve)
-                .map_err(Fault::Threads)?;
-        }
-        drop(results);
-        for (index, arrival) in arrivals.iter().enumerate() {
-            clock.wait_until(arrival.at_us);
-            let _ = work.send(index);
+            let builder = thread::Builder::new().stack_size(client::STACK_BYTES);
+            builder.spawn_scoped(scope, serve).map(drop)
+        });
+        if started.is_ok() {
+            for (index, arrival) in arrivals.iter().enumerate() {
+                clock.wait_until(arrival.at_us);
+                due.push(index);
+            }
         }
-        drop(work);
-        Ok(())
-    })?;
+        due.close();
+        started
+    });
+    drop(results);
+    sent.map_err(Fault::Threads)?;
     Ok(samples.into_iter().collect())
 }
