Match starts to single requests by their marker; test known work at busy and draining homes

The upstream stand-in records a short text that a task asks to be returned. Tasks of the tests with silent connections now outlast the replacement of a connection: with short ones, a gate that denied running starts after an inquiry went unnoticed.

--- a/crates/proof/src/harness/caller.rs
+++ b/crates/proof/src/harness/caller.rs
@@ -123,7 +123,6 @@
 
 #[derive(Deserialize)]
 struct AnswerBody {
-    job: String,
     code: u16,
     fate: String,
     answers: Vec<Value>,
@@ -249,10 +248,10 @@
                 return Outcome::Broken;
             }
         };
-        self.judge(number, work, &reply)
+        self.judge(number, &reply)
     }
 
-    fn judge(&self, number: u64, work: &str, reply: &Reply) -> Outcome {
+    fn judge(&self, number: u64, reply: &Reply) -> Outcome {
         let parsed = serde_json::from_slice::<AnswerBody>(&reply.body).ok();
         let code = parsed.as_ref().and_then(|body| Code::from_number(body.code));
         let (Some(body), Some(code)) = (parsed, code) else {
@@ -271,7 +270,7 @@
             self.recorder.malformed(format!("attempt {number}: {code} without Retry-After"));
         }
         let answers = body.answers.iter().map(marker).collect();
-        self.recorder.answered(number, work, &body.job, Response { code, answers });
+        self.recorder.answered(number, Response { code, answers });
         Outcome::Answered { code, retry_after_s: reply.retry_after_s }
     }
 }
--- a/crates/proof/src/harness/cluster.rs
+++ b/crates/proof/src/harness/cluster.rs
@@ -169,6 +169,9 @@
     pub job: String,
     /// Index of the task.
     pub task: Option<u16>,
+    /// Marker of the task.
+    #[serde(default)]
+    pub echo: Option<String>,
     /// Time of the start, in microseconds.
     pub start_us: u64,
     /// Time of the end, if it ended.
@@ -567,6 +570,25 @@
         until(&what, || (self.observe() >= revision).then_some(()))
     }
 
+    /// Has a sidecar take no new work, without stopping it.
+    ///
+    /// # Errors
+    ///
+    /// If the sidecar does not accept the request.
+    pub fn drain_sidecar(&self, number: usize) -> Result<()> {
+        let sidecar = &self.sidecars[number];
+        let name = &sidecar.settings.name;
+        let wrong = |what: String| Fault::Unexpected(format!("drain of {name}: {what}"));
+        let reply = http::post(&self.agent, sidecar.settings.admin, "/drain", &[], b"");
+        let reply = reply.map_err(|error| wrong(error.to_string()))?;
+        if !(200..300).contains(&reply.status) {
+            return Err(wrong(format!("status {}", reply.status)));
+        }
+        let upstream = sidecar.upstream_name.clone();
+        self.recorder.add(Event::Leaving { at_us: now_us(), upstream });
+        Ok(())
+    }
+
     /// Changes the behaviour of an upstream.
     ///
     /// # Errors
@@ -670,7 +692,7 @@
                 count += 1;
                 events.push(Event::Ran {
                     upstream: sidecar.upstream_name.clone(),
-                    work: self.recorder.work_of(&start.job),
+                    work: self.recorder.work_of(&start.job, start.echo.as_deref()),
                     task: start.task.unwrap_or(u16::MAX),
                     start_us: start.start_us,
                     end_us: start.end_us,
--- a/crates/proof/src/harness/record.rs
+++ b/crates/proof/src/harness/record.rs
@@ -35,7 +35,7 @@
 struct State {
     events: Vec<Event>,
     tally: Tally,
-    /// Work by job ID, where an answer named the job.
+    /// Work by the marker of its task, for single requests.
     work_of: HashMap<String, String>,
     /// Answers that break the callers' protocol.
     malformed: Vec<String>,
@@ -73,13 +73,17 @@
         let (work, process) = (work.to_owned(), process.to_owned());
         let attempt = Attempt { number, work, form, process, expected: expected.to_vec() };
         let mut state = self.lock();
+        if form != Form::Job {
+            let markers = expected.iter().cloned();
+            state.work_of.extend(markers.map(|marker| (marker, attempt.work.clone())));
+        }
         state.tally.sent += 1;
         state.events.push(Event::Sent { at_us: now_us(), attempt });
         number
     }
 
-    /// Notes an answer. `job` is the ID that it names, or empty.
-    pub fn answered(&self, attempt: u64, work: &str, job: &str, response: Response) {
+    /// Notes an answer.
+    pub fn answered(&self, attempt: u64, response: Response) {
         use kingcup_dispatch::code::Fate;
         let at_us = now_us();
         let mut state = self.lock();
@@ -88,9 +92,6 @@
             Fate::NotRun => state.tally.refused += 1,
             Fate::MayHaveRun | Fate::Failed => state.tally.failed += 1,
         }
-        if !job.is_empty() {
-            state.work_of.insert(job.to_owned(), work.to_owned());
-        }
         state.events.push(Event::Answered { at_us, attempt, response });
         drop(state);
         self.changed.notify_all();
@@ -145,9 +146,11 @@
         Ok(())
     }
 
-    /// Work that a job ID stands for: the job itself unless an answer named it for other work.
-    pub fn work_of(&self, job: &str) -> String {
-        self.lock().work_of.get(job).cloned().unwrap_or_else(|| job.to_owned())
+    /// The work of a start: that of the single request with its marker, or else its job ID.
+    pub fn work_of(&self, job: &str, marker: Option<&str>) -> String {
+        let state = self.lock();
+        let named = marker.and_then(|marker| state.work_of.get(marker)).cloned();
+        named.unwrap_or_else(|| job.to_owned())
     }
 
     /// All events so far.
--- a/crates/proof/tests/faults.rs
+++ b/crates/proof/tests/faults.rs
@@ -1,9 +1,13 @@
 //! Kill, pause, drain and restart of each program while jobs run.
 
-use kingcup_proof::harness::{
-    cluster::{start, Cluster, Plan},
-    crowd::{self, Crowd, Mix},
-    seed,
+use kingcup_proof::{
+    check::LEAVE_US,
+    harness::{
+        cluster::{start, Cluster, Plan},
+        crowd::{self, Crowd, Mix},
+        seed,
+    },
+    history::now_us,
 };
 use rstest::rstest;
 
@@ -110,3 +114,19 @@
     cluster.recorder.wait_complete(SOME).unwrap();
     end(cluster, crowd);
 }
+
+/// Guards against new work for a sidecar that an operator drained and that stays, and against
+/// requests that fail because of it.
+#[test]
+fn drained_sidecar_gets_no_new_work() {
+    let (cluster, crowd) = busy();
+    cluster.drain_sidecar(0).unwrap();
+    let drained_us = now_us();
+    while now_us() < drained_us + 2 * LEAVE_US {
+        cluster.recorder.wait_complete(SOME).unwrap();
+    }
+    let recorder = cluster.recorder.clone();
+    end(cluster, crowd);
+    let tally = recorder.tally();
+    assert_eq!((tally.failed, tally.broken), (0, 0), "{:?}", recorder.codes());
+}
--- a/crates/proof/tests/refusals.rs
+++ b/crates/proof/tests/refusals.rs
@@ -7,10 +7,11 @@
     harness::{
         caller::{End, Outcome, Task},
         cluster::{start, Cluster, Plan, FLOOD, FLOOD_WAITING, PLAIN, SERVICE},
-        seed,
+        seed, until,
     },
     history::Form,
 };
+use kingcup_tools::load::metrics;
 use rstest::rstest;
 
 fn small() -> Cluster {
@@ -94,3 +95,36 @@
     assert_eq!(outcome.code().map(Code::fate), Some(Fate::MayHaveRun), "{outcome:?}");
     cluster.finish().unwrap().assert_clean();
 }
+
+/// Guards against a "not run" for work that has run or runs, when it is submitted again while the
+/// queue of its kind is full.
+#[test]
+fn known_work_is_not_denied_when_the_queue_is_full() {
+    let mut cluster = small();
+    let (mut caller, target) = (cluster.caller(), cluster.target(0));
+    caller.open_home(&target).unwrap();
+    let finished = caller.next_job(FLOOD, 1, 1);
+    assert!(caller.submit(&target, &finished).is_complete());
+    let running = caller.next_job(FLOOD, 2, 5_000);
+    let filling = caller.next_job(FLOOD, FLOOD_WAITING as usize, 10);
+    let refused = caller.next_job(FLOOD, 2, 10);
+    thread::scope(|scope| {
+        let (caller, target) = (&caller, &target);
+        scope.spawn(|| caller.submit(target, &running));
+        cluster.wait_starts(3).unwrap();
+        scope.spawn(|| caller.submit(target, &filling));
+        let admin = cluster.entries[0].settings.admin;
+        until("a full queue", || {
+            let text = metrics::get(admin, "/metrics").unwrap();
+            let waiting = metrics::sum(&text, "kingcup_waiting", |labels| labels.contains(FLOOD));
+            (waiting >= f64::from(FLOOD_WAITING)).then_some(())
+        })
+        .unwrap();
+        let outcome = caller.submit(target, &refused);
+        assert_eq!(outcome.code(), Some(Code::QueueFull));
+        assert!(caller.submit(target, &finished).is_complete());
+        let again = caller.submit(target, &running);
+        assert!(!again.is_not_run(), "{again:?}");
+    });
+    cluster.finish().unwrap().assert_clean();
+}
--- a/crates/proof/tests/resubmit.rs
+++ b/crates/proof/tests/resubmit.rs
@@ -187,3 +187,36 @@
     verdict.assert_clean();
     assert_eq!(verdict.starts, 1);
 }
+
+/// Guards against a "not run" for work that has run or runs, when it is submitted again while its
+/// home is draining.
+#[test]
+fn known_job_is_not_denied_while_its_home_drains() {
+    let mut cluster = cluster();
+    let (mut caller, home) = (cluster.caller(), cluster.target(0));
+    caller.open_home(&home).unwrap();
+    let finished = caller.next_job(PLAIN, 2, 1);
+    assert!(caller.submit(&home, &finished).is_complete());
+    let running = caller.next_job(PLAIN, 2, 4_000);
+    thread::scope(|scope| {
+        let caller = &caller;
+        let first = scope.spawn(|| caller.submit(&home, &running));
+        cluster.wait_starts(4).unwrap();
+        let program = cluster.entries[0].program.as_ref().unwrap();
+        program.signal(libc::SIGTERM);
+        program.wait_line("event=draining").unwrap();
+        for target in cluster.targets() {
+            let again = caller.submit(&target, &finished);
+            assert!(again.is_complete(), "finished job: {again:?} through {}", target.name);
+        }
+        for target in cluster.targets() {
+            let again = caller.submit(&target, &running);
+            assert!(!again.is_not_run(), "running job: {again:?} through {}", target.name);
+        }
+        assert!(first.join().unwrap().is_complete());
+    });
+    cluster.stop_entry(0).unwrap();
+    let verdict = cluster.finish().unwrap();
+    verdict.assert_clean();
+    assert_eq!(verdict.starts, 4);
+}
--- a/crates/proof/tests/silent.rs
+++ b/crates/proof/tests/silent.rs
@@ -9,7 +9,9 @@
 use rstest::rstest;
 
 /// Complete responses between two steps of a test.
-const SOME: u64 = 60;
+const SOME: u64 = 20;
+/// Longest run time, in milliseconds: some tasks must still run when their connection is replaced.
+const MAX_SLEEP_MS: u64 = 2_500;
 
 fn busy() -> (Cluster, Crowd) {
     let plan = Plan { seed: seed(), entries: 2, sidecars: 3, proxies: true, ..Plan::default() };
@@ -18,7 +20,8 @@
         let accepted = sidecar.proxy.as_ref().unwrap().counts().accepted;
         assert!(accepted >= 2, "the entries bypass the proxy of {}", sidecar.settings.name);
     }
-    let crowd = crowd::spawn(&cluster, &Mix::default());
+    let crowd =
+        crowd::spawn(&cluster, &Mix { max_tasks: 4, max_sleep_ms: MAX_SLEEP_MS, ..Mix::default() });
     cluster.recorder.wait_complete(SOME).unwrap();
     (cluster, crowd)
 }
@@ -76,7 +79,7 @@
             cluster.recorder.fault("cut connections");
             sidecar.proxy.as_ref().unwrap().cut();
         }
-        cluster.recorder.wait_complete(SOME / 3).unwrap();
+        cluster.recorder.wait_complete(SOME / 5).unwrap();
     }
     end(cluster, crowd);
 }
--- a/crates/standin/src/upstream/log.rs
+++ b/crates/standin/src/upstream/log.rs
@@ -14,6 +14,10 @@
     pub job: String,
     /// Task from `Kingcup-Task`; none without the header or if it is not a number.
     pub task: Option<u16>,
+    /// What the task's body asks to be returned, if it is a short text. Names the work independently
+    /// of the job ID.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub echo: Option<String>,
     /// Time of the start, in microseconds of the system's monotonic clock.
     pub start_us: u64,
     /// Time of the end; none while it runs or if it was left without an answer.
@@ -47,12 +51,12 @@
 
 impl Log {
     /// Records a start.
-    pub fn start(&mut self, job: String, task: Option<u16>) -> Option<Place> {
+    pub fn start(&mut self, job: String, task: Option<u16>, echo: Option<String>) -> Option<Place> {
         if self.starts.starts.len() >= ROWS {
             self.starts.unrecorded += 1;
             return None;
         }
-        let row = Row { job, task, start_us: monotonic_us(), end_us: None, status: None };
+        let row = Row { job, task, echo, start_us: monotonic_us(), end_us: None, status: None };
         self.starts.starts.push(row);
         Some(Place { at: self.starts.starts.len() - 1, epoch: self.epoch })
     }
--- a/crates/standin/src/upstream/server.rs
+++ b/crates/standin/src/upstream/server.rs
@@ -300,6 +300,8 @@
     fn run(&self, request: Request, body: &[u8]) {
         let job = header(&request, "Kingcup-Job").unwrap_or_default();
         let task_index = header(&request, "Kingcup-Task").and_then(|text| text.parse().ok());
+        let task = Task::parse(body);
+        let echo = task.as_ref().ok().and_then(Task::short_echo);
         let (place, hang, slow) = {
             let mut state = self.lock();
             if state.running >= TASKS {
@@ -309,10 +311,10 @@
             state.running += 1;
             state.asked = true;
             self.changed.notify_all();
-            let place = state.log.start(job.clone(), task_index);
+            let place = state.log.start(job.clone(), task_index, echo);
             (place, state.behaviour.hang, state.behaviour.slow)
         };
-        let task = match Task::parse(body) {
+        let task = match task {
             Ok(task) => task,
             Err(error) => {
                 self.end(place, 400);
--- a/crates/standin/src/upstream/task.rs
+++ b/crates/standin/src/upstream/task.rs
@@ -11,6 +11,9 @@
 /// Longest sleep between looks at a stall, in milliseconds.
 const STALL_STEP_MS: u64 = 10;
 
+/// Longest text to be returned that is recorded, in bytes.
+const ECHO_BYTES: usize = 128;
+
 /// What a task's body asks for; anything else in it is ignored.
 #[derive(Debug, Default, Deserialize)]
 #[serde(default)]
@@ -39,6 +42,11 @@
         serde_json::from_slice(body)
     }
 
+    /// What is to be returned, if it is a short text.
+    pub fn short_echo(&self) -> Option<String> {
+        self.echo.as_str().filter(|text| text.len() <= ECHO_BYTES).map(str::to_owned)
+    }
+
     /// HTTP status of the answer.
     pub fn status(&self, fail_all: bool) -> u16 {
         let failed = self.fail || fail_all;
--- a/crates/standin/tests/upstream.rs
+++ b/crates/standin/tests/upstream.rs
@@ -124,3 +124,15 @@
         }
     });
 }
+
+/// Guards against starts that cannot be matched to the work of a caller who never learned a job ID.
+#[test]
+fn a_short_text_to_be_returned_is_recorded() {
+    let (server, agent) = open();
+    let long = "x".repeat(1_000);
+    for body in [r#"{"echo": "mine"}"#, r#"{"echo": 5}"#, &format!(r#"{{"echo": "{long}"}}"#)] {
+        assert_eq!(post(&server, &agent, "/run", body).unwrap().0, 200);
+    }
+    let echoes: Vec<_> = server.starts().into_iter().map(|start| start.echo).collect();
+    assert_eq!(echoes, [Some("mine".to_owned()), None, None]);
+}
