--- a/crates/proof/tests/faults.rs
+++ b/crates/proof/tests/faults.rs
@@ -15,15 +15,23 @@
 const SOME: u64 = 60;
 
 fn busy() -> (Cluster, Crowd) {
+    busy_with(Mix::default(), SOME)
+}
+
+fn busy_with(mix: Mix, complete: u64) -> (Cluster, Crowd) {
     let plan = Plan { seed: seed(), entries: 3, sidecars: 4, zones: 3, ..Plan::default() };
     let cluster = start(plan).unwrap();
-    let crowd = crowd::spawn(&cluster, &Mix::default());
-    cluster.recorder.wait_complete(SOME).unwrap();
+    let crowd = crowd::spawn(&cluster, &mix);
+    cluster.recorder.wait_complete(complete).unwrap();
     (cluster, crowd)
 }
 
-fn end(mut cluster: Cluster, crowd: Crowd) {
-    cluster.recorder.wait_complete(SOME).unwrap();
+fn end(cluster: Cluster, crowd: Crowd) {
+    end_after(cluster, crowd, SOME);
+}
+
+fn end_after(mut cluster: Cluster, crowd: Crowd, complete: u64) {
+    cluster.recorder.wait_complete(complete).unwrap();
     crowd.stop();
     cluster.wait_idle().unwrap();
     println!("{:?}", cluster.recorder.codes());
@@ -86,19 +94,21 @@
 #[case::entry(true)]
 #[case::sidecar(false)]
 fn planned_stop(#[case] entry: bool) {
-    let (mut cluster, crowd) = busy();
+    // Some work in flight must outlast the delays of a stop that does not wait for it.
+    let mix = Mix { callers: 16, max_tasks: 2, max_sleep_ms: 3_000, ..Mix::default() };
+    let (mut cluster, crowd) = busy_with(mix, SOME / 3);
     match entry {
         true => cluster.stop_entry(0).unwrap(),
         false => cluster.stop_sidecar(0).unwrap(),
     }
-    cluster.recorder.wait_complete(SOME).unwrap();
+    cluster.recorder.wait_complete(SOME / 3).unwrap();
     match entry {
         true => cluster.spawn_entry(0).unwrap(),
         false => cluster.spawn_sidecar(0).unwrap(),
     }
     cluster.wait_ready().unwrap();
     let recorder = cluster.recorder.clone();
-    end(cluster, crowd);
+    end_after(cluster, crowd, SOME / 3);
     let tally = recorder.tally();
     assert_eq!((tally.failed, tally.broken), (0, 0), "{:?}", recorder.codes());
 }
--- a/crates/proof/tests/rolling.rs
+++ b/crates/proof/tests/rolling.rs
@@ -7,7 +7,7 @@
 };
 
 /// Complete responses between two replacements.
-const SOME: u64 = 30;
+const SOME: u64 = 20;
 
 /// Guards against any failed or refused request while all entries and all sidecars are replaced.
 #[test]
--- a/crates/proof/tests/silent.rs
+++ b/crates/proof/tests/silent.rs
@@ -9,9 +9,9 @@
 use rstest::rstest;
 
 /// Complete responses between two steps of a test.
-const SOME: u64 = 20;
+const SOME: u64 = 16;
 /// Longest run time, in milliseconds: some tasks must still run when their connection is replaced.
-const MAX_SLEEP_MS: u64 = 2_500;
+const MAX_SLEEP_MS: u64 = 4_000;
 
 fn busy() -> (Cluster, Crowd) {
     let plan = Plan { seed: seed(), entries: 2, sidecars: 3, proxies: true, ..Plan::default() };
@@ -20,8 +20,10 @@
         let accepted = sidecar.proxy.as_ref().unwrap().counts().accepted;
         assert!(accepted >= 2, "the entries bypass the proxy of {}", sidecar.settings.name);
     }
-    let crowd =
-        crowd::spawn(&cluster, &Mix { max_tasks: 4, max_sleep_ms: MAX_SLEEP_MS, ..Mix::default() });
+    let crowd = crowd::spawn(
+        &cluster,
+        &Mix { callers: 16, max_tasks: 2, max_sleep_ms: MAX_SLEEP_MS, ..Mix::default() },
+    );
     cluster.recorder.wait_complete(SOME).unwrap();
     (cluster, crowd)
 }
@@ -79,7 +81,7 @@
             cluster.recorder.fault("cut connections");
             sidecar.proxy.as_ref().unwrap().cut();
         }
-        cluster.recorder.wait_complete(SOME / 5).unwrap();
+        cluster.recorder.wait_complete(SOME / 4).unwrap();
     }
     end(cluster, crowd);
 }
--- a/crates/tools/src/bin/kingcup-load.rs
+++ b/crates/tools/src/bin/kingcup-load.rs
@@ -6,7 +6,7 @@
 use kingcup_tools::load::{self, workload::Workload, Options};
 
 /// Most requests in flight unless told otherwise.
-const THREADS: usize = 512;
+const THREADS: usize = 2_000;
 /// Longest wait for a response unless told otherwise, in seconds.
 const TIMEOUT_S: u64 = 60;
 
@@ -27,7 +27,7 @@
     options.optmulti("e", "entry", "callers' address of an entry", "ADDRESS");
     options.optmulti("a", "admin", "operators' address of a daemon, for messages", "ADDRESS");
     options.optmulti("u", "upstream", "address of an upstream stand-in, for starts", "ADDRESS");
-    options.optopt("", "threads", "most requests in flight (512)", "NUMBER");
+    options.optopt("", "threads", "most requests in flight (2000)", "NUMBER");
     options.optopt("", "timeout", "longest wait for a response (60)", "SECONDS");
     options.optflag("", "any-entry", "send jobs to entries in turn, not to their home");
     options.optflag("", "json", "print the report in JSON");
--- a/crates/tools/src/load.rs
+++ b/crates/tools/src/load.rs
@@ -10,7 +10,15 @@
 pub mod schedule;
 pub mod workload;
 
-use std::{net::SocketAddr, sync::mpsc, thread, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{
+        atomic::{AtomicUsize, Ordering},
+        mpsc, Mutex,
+    },
+    thread,
+    time::Duration,
+};
 
 use displaydoc::Display;
 
@@ -72,6 +80,12 @@
     Ok(Report::open(workload, &arrivals, &samples, sums))
 }
 
+/// Reserves an idle thread, if there is one.
+fn take_idle(idle: &AtomicUsize) -> bool {
+    let less = |count: usize| count.checked_sub(1);
+    idle.fetch_update(Ordering::Relaxed, Ordering::Relaxed, less).is_ok()
+}
+
 fn send(
     workload: &Workload,
     options: &Options,
@@ -79,12 +93,20 @@
 ) -> Result<Vec<Sample>, Fault> {
     let (results, samples) = mpsc::channel();
     let (work, queue) = mpsc::channel::<usize>();
-    let queue = std::sync::Mutex::new(queue);
+    let (queue, idle) = (Mutex::new(queue), AtomicUsize::new(0));
     let clock = client::Clock::start();
     thread::scope(|scope| {
-        for number in 0..options.threads.max(1) {
-            let (results, queue) = (results.clone(), &queue);
-            let mut client = Client::open(workload, options, number);
+        let mut threads = 0;
+        for (index, arrival) in arrivals.iter().enumerate() {
+            clock.wait_until(arrival.at_us);
+            // One thread for each submission in flight, up to the limit.
+            if take_idle(&idle) || threads >= options.threads.max(1) {
+                let _ = work.send(index);
+                continue;
+            }
+            let (results, queue, idle) = (results.clone(), &queue, &idle);
+            let mut client = Client::open(workload, options, threads);
+            threads += 1;
             let serve = move || loop {
                 let next = match queue.lock() {
                     Ok(queue) => queue.recv(),
@@ -92,18 +114,15 @@
                 };
                 let Ok(index) = next else { return };
                 let _ = results.send(client.send(index, &arrivals[index], clock));
+                idle.fetch_add(1, Ordering::Relaxed);
             };
             thread::Builder::new()
                 .stack_size(client::STACK_BYTES)
                 .spawn_scoped(scope, serve)
                 .map_err(Fault::Threads)?;
-        }
-        drop(results);
-        for (index, arrival) in arrivals.iter().enumerate() {
-            clock.wait_until(arrival.at_us);
             let _ = work.send(index);
         }
-        drop(work);
+        drop((results, work));
         Ok(())
     })?;
     Ok(samples.into_iter().collect())
