--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -29,12 +29,14 @@
 /// Membership is complete enough to judge what can never run after this time, in microseconds.
 const MEMBERSHIP_US: u64 = 5_000_000;
 /// Time without a report after which other entries' tasks are assumed to end, in microseconds.
-const STALE_US: u64 = 300_000;
+const STALE_US: u64 = 1_000_000;
 /// Upstreams whose reports are checked for age in each tick.
 const AGE_VISITS: usize = 32;
 /// A start may wait in a gate's queue for so many times the expected interval between two ends there
 /// while the fleet is full: being refused and sent elsewhere would cost two messages and gain little.
 const FULL_GAPS: f32 = 2.0;
+/// The same for work within its share, which another upstream's kept slot may serve sooner.
+const SHARE_GAPS: f32 = 1.0;
 /// The same while other upstreams have free slots.
 const FREE_GAPS: f32 = 0.4;
 /// Part of the fleet's slots that must be free for `FREE_GAPS`, as a divisor.
@@ -354,7 +356,7 @@
     /// Free slots that a kind may use now.
     fn usable_free(&self, class: usize) -> u32 {
         let slots = self.fleet.slots();
-        if self.queue.within(class, slots) {
+        if !self.queue.leaves_headroom(class, slots) {
             return self.fleet.free();
         }
         let reserved = slots * crate::route::HEADROOM_SLOTS / crate::route::HEADROOM_OF_SLOTS;
@@ -742,20 +744,35 @@
 
     /// Places waiting tasks while there is an upstream for the next one.
     fn pump(&mut self, now_us: u64) {
+        let from = self.actions.len();
         while let Some(pick) = self.queue.next(self.fleet.slots()) {
             let Some((choice, reason)) = self.choose(pick, now_us) else {
+                self.ask_for_slots(pick, from);
                 return;
             };
             self.start(pick, &choice, reason, now_us);
         }
     }
 
+    /// Marks the starts just made: work within its share waits that could not be placed. Lent work
+    /// does not ask to be told of free slots, since most of those are kept from it.
+    fn ask_for_slots(&mut self, pick: Pick, from: usize) {
+        if !pick.within {
+            return;
+        }
+        for action in &mut self.actions[from..] {
+            if let Action::Start(start) = action {
+                start.more = true;
+            }
+        }
+    }
+
     fn choose(&mut self, pick: Pick, now_us: u64) -> Option<(Choice, Reason)> {
         if let Some(choice) = self.probe(now_us) {
             return Some((choice, Reason::Probe));
         }
         let reason = if pick.within { Reason::Share } else { Reason::Lent };
-        let lent = !pick.within;
+        let lent = self.queue.leaves_headroom(pick.class, self.fleet.slots());
         let first = self.jobs.first(pick.class).and_then(|job| self.jobs.get(job));
         let choice = match first.and_then(|row| row.avoid) {
             Some(upstream) => self.fleet.choose_other(upstream, lent, &mut self.rng),
@@ -779,6 +796,7 @@
 
     fn start(&mut self, pick: Pick, choice: &Choice, reason: Reason, now_us: u64) {
         let class = pick.class;
+        let lent = self.queue.leaves_headroom(class, self.fleet.slots());
         let Some((job, task)) = self.take_waiting(class) else {
             return;
         };
@@ -808,9 +826,8 @@
             row.sent += 1;
         }
         let left_ms = deadline_us.saturating_sub(now_us) / 1_000;
-        let gate_ms = self.gate_wait_ms(upstream, fleet_free);
+        let gate_ms = self.gate_wait_ms(upstream, pick.within, fleet_free);
         let headroom = self.fleet.get(upstream).map_or(0, |row| row.headroom);
-        let waiting = self.queue.classes.iter().any(|class| class.waiting > 0);
         self.actions.push(Action::Start(Start {
             upstream,
             sequence,
@@ -818,8 +835,8 @@
             job,
             task,
             kind: self.kinds[class].name.clone(),
-            headroom: if pick.within { 0 } else { headroom },
-            more: waiting && self.fleet.free() == 0,
+            headroom: if lent { headroom } else { 0 },
+            more: false,
             wait_ms: gate_ms.min(left_ms as u32),
             payload,
         }));
@@ -836,11 +853,16 @@
     }
 
     /// How long a start may wait at an upstream's gate, in milliseconds.
-    fn gate_wait_ms(&self, upstream: Upstream, fleet_free: u32) -> u32 {
+    fn gate_wait_ms(&self, upstream: Upstream, within: bool, fleet_free: u32) -> u32 {
         let slots = self.fleet.get(upstream).map_or(1, |row| row.slots.max(1));
         let gap_ms = self.queue_mean_us() / 1_000.0 / f32::from(slots);
         let plenty = fleet_free * FREE_PART > self.fleet.slots();
-        (gap_ms * if plenty { FREE_GAPS } else { FULL_GAPS }) as u32
+        let gaps = match (plenty, within) {
+            (true, _) => FREE_GAPS,
+            (false, true) => SHARE_GAPS,
+            (false, false) => FULL_GAPS,
+        };
+        (gap_ms * gaps) as u32
     }
 
     /// Mean run time over the kinds, by their starts, in microseconds.
