Tell connected sidecars of a new revision on their links

Cause: sidecars heard of a revision only in acknowledgements of their announcements. Their interval was measured at 9.1 s for 200 sidecars and 46 s for 1,000, against 9 s for a change to be in force.

--- a/crates/node/src/entry/documents.rs
+++ b/crates/node/src/entry/documents.rs
@@ -87,6 +87,21 @@
         self.quotas.apply(&envelope.document, now_us);
         let engine = &mut self.services.get_mut(id).engine;
         engine.apply(&envelope.document, revision, now_us);
+        self.notify_sidecars(id, service, revision);
+    }
+
+    /// Tells the connected sidecars of a service its new revision. The interval of announcements grows
+    /// with the fleet, to 46 s at 1,000 sidecars, so their acknowledgements alone would come too late.
+    fn notify_sidecars(&mut self, id: services::Id, service: &str, revision: u64) {
+        let links: Vec<Id> = self
+            .sidecars
+            .iter()
+            .filter(|(_, row)| row.service == id && row.contact.is_open())
+            .filter_map(|(_, row)| row.contact.link)
+            .collect();
+        for link in links {
+            self.send(link, &Frame::Document(Document { service, revision, text: "" }));
+        }
     }
 
     fn apply_kept(&mut self, now_us: u64) {
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -197,6 +197,16 @@
         }
     }
 
+    /// Notes the revision that an entry has, and fetches it if it is newer.
+    fn noticed(&mut self, peer: gate::Peer, notice: &Document<'_>, now_ms: u64) {
+        if notice.service != self.settings.service || notice.revision == 0 {
+            return;
+        }
+        let Some(peer) = self.peers.get(peer) else { return };
+        self.config.report(&peer.entry, notice.service, notice.revision);
+        self.fetch(now_ms);
+    }
+
     fn document(&mut self, document: &Document<'_>, cx: CX![]) {
         if document.service != self.settings.service || document.revision == 0 {
             return;
@@ -275,6 +285,9 @@
                     self.gate.inquire(peer, &inquire.sequences, now);
                 }
                 (Frame::Fetch(service), Some(_)) => self.send_document(id, service),
+                (Frame::Document(notice), Some(peer)) if notice.text.is_empty() => {
+                    self.noticed(peer, &notice, now_ms(cx));
+                }
                 (Frame::Document(document), Some(_)) => self.document(&document, cx),
                 (Frame::ProbeAck(_) | Frame::Closing, Some(_)) => {}
                 (_, _) => {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -140,6 +140,15 @@
         in_force.then_some((child, file, [internal, callers, admin]))
     }
 
+    /// Stores the service's document as the next revision.
+    pub fn store_revision(&self, revision: u64) {
+        let client = Client::open(&self.store.url(), Limits::default());
+        let key = format!("{SERVICES}desk");
+        let stored = client.get(&key).unwrap().expect("document");
+        let text = ENVELOPE.replace("\"revision\": 1", &format!("\"revision\": {revision}"));
+        client.put_if(&key, &text, stored.mod_revision).unwrap();
+    }
+
     fn get(&self, address: SocketAddr, path: &str) -> Option<Response> {
         exchange(address, &format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
     }
--- a/crates/node/tests/entry_links.rs
+++ b/crates/node/tests/entry_links.rs
@@ -252,3 +252,18 @@
     assert_eq!(job.join().unwrap().code(), 0);
     drop(finish.join().unwrap());
 }
+
+/// Guards against a document that reaches sidecars only with the acknowledgement of their next
+/// announcement, whose interval grows with the fleet.
+#[test]
+fn a_new_revision_is_noticed_on_the_links() {
+    let stage = Stage::open(&[]);
+    let mut sidecar = Sidecar::open("s1", 5);
+    let mut wire = sidecar.join(&stage);
+    stage.store_revision(2);
+    let notice = wire.next(|frame| match frame {
+        Frame::Document(document) => Some((document.service.to_owned(), document.revision)),
+        _ => None,
+    });
+    assert_eq!(notice, Some(("desk".to_owned(), 2)));
+}
--- a/crates/node/tests/sidecar.rs
+++ b/crates/node/tests/sidecar.rs
@@ -365,3 +365,14 @@
     assert!(stage.child.wait().unwrap().success());
     assert_eq!(stage.upstream.starts().len(), 2);
 }
+
+/// Guards against a sidecar that learns of a new document only with its next announcement, whose
+/// interval grows with the fleet.
+#[test]
+fn a_notice_on_a_link_makes_the_sidecar_fetch() {
+    let stage = Stage::open();
+    let mut link = stage.connect_with_document();
+    let text = "";
+    link.send(&Frame::Document(kingcup_wire::Document { service: "ruilbeurs", revision: 4, text }));
+    link.until(|frame| matches!(frame, Frame::Fetch("ruilbeurs")).then_some(()));
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -222,7 +222,7 @@
     pub service: &'a str,
     /// Revision; 0 if the sender has none.
     pub revision: u64,
-    /// The stored JSON text.
+    /// The stored JSON text; empty in a notice that the sender has this revision.
     pub text: &'a str,
 }
 
