--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -528,7 +528,8 @@
     }
 
     /// The link is back. Returns the sequences of the starts whose outcome has to be inquired. With
-    /// a new incarnation of the sidecar, its old starts may have run and there is nothing to ask.
+    /// a new incarnation of the sidecar, its old starts may have run and there is nothing to ask. The
+    /// upstream may get work at once; if its sidecar is closing, the caller reports that again.
     pub fn resumed(&mut self, upstream: Upstream, incarnation: u64, now_us: u64) -> Vec<u64> {
         let Some(row) = self.fleet.get(upstream) else {
             return Vec::new();
