--- a/crates/node/src/entry/contact.rs
+++ b/crates/node/src/entry/contact.rs
@@ -6,6 +6,10 @@
 
 /// Silence after something was sent, before a probe is sent, in microseconds.
 pub const PROBE_US: u64 = 500_000;
+/// Silence since the last bytes, before a probe is sent, while answers to earlier frames are still due;
+/// in microseconds. With the wait for the answer and two ticks, silence is found within 2 s. Most tasks
+/// end sooner, so that few need a probe.
+pub const OWED_US: u64 = 800_000;
 /// Wait for the answer to a probe before the connection is given up, in microseconds.
 pub const PROBE_WAIT_US: u64 = 1_000_000;
 /// Wait for `Welcome` on a new connection, in microseconds.
@@ -164,12 +168,12 @@
             let over = now_us >= probed_us + PROBE_WAIT_US;
             return if over { Step::Drop } else { Step::Wait };
         }
-        let since_us = match self.asked_us {
-            Some(asked_us) => asked_us.max(heard_us),
-            None if expecting => heard_us,
+        let due_us = match self.asked_us {
+            Some(asked_us) => asked_us.max(heard_us) + PROBE_US,
+            None if expecting => heard_us + OWED_US,
             None => return Step::Wait,
         };
-        if now_us >= since_us + PROBE_US {
+        if now_us >= due_us {
             Step::Probe
         } else {
             Step::Wait
