--- a/crates/proof/src/bin/kingcup-capacity.rs
+++ b/crates/proof/src/bin/kingcup-capacity.rs
@@ -11,7 +11,7 @@
 
 use getopts::Options;
 use kingcup_proof::harness::{
-    cluster::{start, Cluster, Plan},
+    cluster::{document, start, Cluster, Plan},
     crowd::{self, Mix},
     http,
     process::Program,
@@ -80,6 +80,7 @@
         let mut cluster = start(plan)?;
         thread::park_timeout(Duration::from_secs(SETTLE));
         sample(&cluster, "idle", length)?;
+        change(&cluster)?;
         if callers > 0 {
             let mix = Mix { callers, max_tasks: 110, max_sleep_ms: 5, retry: true };
             let crowd = crowd::spawn(&cluster, &mix);
@@ -92,6 +93,19 @@
     Ok(())
 }
 
+/// Changes the document and prints the time until all processes report the new revision, including
+/// the time of asking them.
+fn change(cluster: &Cluster) -> Result<()> {
+    let begun = Instant::now();
+    let mut changed = document();
+    changed.max_memory_mb += 1;
+    let applied = cluster.apply(&changed, "capacity")?;
+    cluster.wait_revision(applied.revision.unwrap_or_default())?;
+    let (sidecars, ms) = (cluster.sidecars.len(), begun.elapsed().as_millis());
+    println!("{sidecars:>8}  change in force everywhere after {ms} ms");
+    Ok(())
+}
+
 fn sample(cluster: &Cluster, load: &str, length: Duration) -> Result<()> {
     let (before, starts) = (usages(cluster)?, cluster.count_starts()?);
     let begun = Instant::now();
