--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -60,6 +60,18 @@
     }
 }
 
+fn listen() -> TcpListener {
+    let listener = TcpListener::bind(loopback()).unwrap();
+    listener.set_nonblocking(true).unwrap();
+    listener
+}
+
+fn accept_from(listener: &TcpListener) -> TcpStream {
+    let stream = wait_for("connection", || listener.accept().ok()).0;
+    stream.set_nonblocking(false).unwrap();
+    stream
+}
+
 /// A running entry named `e1`.
 pub struct Stage {
     child: Child,
@@ -306,7 +318,7 @@
 
 impl Sidecar {
     pub fn open(name: &'static str, incarnation: u64) -> Self {
-        let listener = TcpListener::bind(loopback()).unwrap();
+        let listener = listen();
         let port = UdpSocket::bind(loopback()).unwrap();
         Self { name, incarnation, listener, port, sequence: 0 }
     }
@@ -331,7 +343,10 @@
 
     /// Accepts the entry's next connection and answers its `Hello`.
     pub fn accept(&self) -> (Wire, Greeting) {
-        let (stream, _) = self.listener.accept().unwrap();
+        self.greet(accept_from(&self.listener))
+    }
+
+    fn greet(&self, stream: TcpStream) -> (Wire, Greeting) {
         let mut wire = Wire::new(stream);
         let take = |frame: &Frame<'_>| match frame {
             Frame::Hello(hello) => {
@@ -352,10 +367,14 @@
         (wire, greeting)
     }
 
-    /// Announces itself and accepts the entry's connection.
+    /// Announces itself until the entry connects: a busy machine may drop a datagram.
     pub fn join(&mut self, stage: &Stage) -> Wire {
-        self.announce(stage);
-        let (wire, _) = self.accept();
+        let stream = wait_for("connection", || {
+            self.announce(stage);
+            self.listener.accept().ok()
+        });
+        stream.0.set_nonblocking(false).unwrap();
+        let (wire, _) = self.greet(stream.0);
         wait_for("open link", || {
             let status = stage.status();
             let rows = status["sidecars"].as_array()?;
@@ -376,7 +395,7 @@
 
 impl Peer {
     pub fn open(name: &'static str, incarnation: u64) -> Self {
-        let listener = TcpListener::bind(loopback()).unwrap();
+        let listener = listen();
         let port = UdpSocket::bind(loopback()).unwrap();
         Self { name, incarnation, listener, port, sequence: 0 }
     }
@@ -404,8 +423,7 @@
 
     /// Accepts the entry's connection and answers its `Hello`.
     pub fn accept(&self) -> Wire {
-        let (stream, _) = self.listener.accept().unwrap();
-        let mut wire = Wire::new(stream);
+        let mut wire = Wire::new(accept_from(&self.listener));
         let hello = |frame: &Frame<'_>| matches!(frame, Frame::Hello(_)).then_some(());
         wire.next(hello).expect("hello");
         wire.send(&Frame::Welcome(Welcome {
