Accept callers again after the HTTP library has stopped on an error

The library's accept thread ends after an error such as too many open files. It is started again on the same port.

--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -4,18 +4,21 @@
 
 use std::{
     io::{self, Read},
-    net::SocketAddr,
+    net::{SocketAddr, TcpListener},
     sync::{
         atomic::{AtomicUsize, Ordering},
         mpsc::{sync_channel, Receiver, SyncSender, TrySendError},
         Arc, Mutex,
     },
     thread,
+    time::Duration,
 };
 
 use stakker::{sync::Channel, Core, Fwd};
 use tiny_http::{Header, Method, Request, Response, Server};
 
+use nudge::Nudge;
+
 /// Threads that write responses.
 const WRITERS: usize = 8;
 /// Responses that wait for a writer.
@@ -25,6 +28,9 @@
 /// Bodies up to this size arrive with the head and are read without a thread, in bytes.
 const INLINE_BYTES: usize = 1024;
 
+/// Pause before connections are accepted again after an error.
+const RESTART_PAUSE: Duration = Duration::from_millis(100);
+
 /// A request, read whole.
 pub struct Call {
     /// Method in upper case.
@@ -90,8 +96,8 @@
 }
 
 /// A running server.
+#[derive(Debug)]
 pub struct Handle {
-    server: Arc<Server>,
     /// Address it is bound to.
     pub address: SocketAddr,
 }
@@ -122,13 +128,6 @@
     }
 }
 
-impl Handle {
-    /// Stops taking requests; those that were taken are answered.
-    pub fn close(&self) {
-        self.server.unblock();
-    }
-}
-
 /// Binds a server whose requests are sent to `fwd`.
 ///
 /// # Errors
@@ -141,25 +140,43 @@
     refusal: Refusal,
     fwd: Fwd<Call>,
 ) -> io::Result<Handle> {
-    let server = Arc::new(Server::http(address).map_err(io::Error::other)?);
+    let listener = TcpListener::bind(address)?;
+    let address = listener.local_addr()?;
+    let server = serve(&listener)?;
     let (channel, guard) = Channel::new(core, fwd);
     // The server lives as long as the process.
     std::mem::forget(guard);
     let (writers, jobs) = sync_channel(WRITER_QUEUE);
     spawn_writers(jobs)?;
-    let address = server.server_addr().to_ip().unwrap_or(address);
-    let nudge = nudge::Nudge::spawn(address)?;
+    let nudge = Nudge::spawn(address)?;
     let reading = AtomicUsize::new(0);
     let intake = Intake { channel, writers, body_limit, refusal, reading };
-    let source = server.clone();
     let intake = Arc::new(intake);
-    thread::Builder::new().name("http-intake".into()).spawn(move || {
-        while let Ok(request) = source.recv() {
-            nudge.note();
-            intake.clone().take(request);
+    thread::Builder::new()
+        .name("http-intake".into())
+        .spawn(move || take_requests(&listener, server, &nudge, &intake))?;
+    Ok(Handle { address })
+}
+
+fn serve(listener: &TcpListener) -> io::Result<Server> {
+    Server::from_listener(listener.try_clone()?, None).map_err(io::Error::other)
+}
+
+/// Passes requests on for as long as the process runs. `tiny_http` stops accepting for good after an
+/// error of the kernel, such as too many open files; it is then started again on the same port.
+fn take_requests(listener: &TcpListener, first: Server, nudge: &Nudge, intake: &Arc<Intake>) {
+    let mut server = Some(first);
+    loop {
+        if let Some(server) = &server {
+            while let Ok(request) = server.recv() {
+                nudge.note();
+                intake.clone().take(request);
+            }
+            log::error!("event=accept_failed pause_ms={}", RESTART_PAUSE.as_millis());
         }
-    })?;
-    Ok(Handle { server, address })
+        thread::park_timeout(RESTART_PAUSE);
+        server = serve(listener).ok();
+    }
 }
 
 struct Intake {
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -3,10 +3,11 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 use std::{
+    fs::File,
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
     path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::{Child, Command},
     thread,
     time::{Duration, Instant},
 };
@@ -24,6 +25,8 @@
 pub const WAIT: Duration = Duration::from_secs(20);
 /// Wait between two looks at something that is expected to change.
 const LOOK: Duration = Duration::from_millis(20);
+/// Files that the entry may have open, unless a test says otherwise.
+const FILES: u32 = 1_024;
 /// Times that the entry's start is tried.
 const STARTS: usize = 5;
 /// Slots of the sidecars that tests play.
@@ -75,6 +78,7 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.file);
+        let _ = std::fs::remove_file(self.file.with_extension("log"));
     }
 }
 
@@ -95,11 +99,16 @@
 impl Stage {
     /// Starts an entry whose document is in force. `peers` are the other entries of its settings.
     pub fn open(peers: &[(&str, SocketAddr)]) -> Self {
+        Self::open_limited(peers, FILES)
+    }
+
+    /// As `open`, for an entry that may have this many files open.
+    pub fn open_limited(peers: &[(&str, SocketAddr)], files: u32) -> Self {
         let store = Server::open("127.0.0.1:0").unwrap();
         let client = Client::open(&store.url(), Limits::default());
         client.put_if(&format!("{SERVICES}desk"), ENVELOPE, 0).unwrap();
         // A port that was free may be taken by a connection of another test before it is bound.
-        let started = (0..STARTS).find_map(|_| Self::start(&store, peers));
+        let started = (0..STARTS).find_map(|_| Self::start(&store, peers, files));
         let (child, file, [internal, callers, admin]) = started.expect("entry starts");
         Self { child, store, internal, callers, admin, file }
     }
@@ -108,6 +117,7 @@
     fn start(
         store: &Server,
         peers: &[(&str, SocketAddr)],
+        files: u32,
     ) -> Option<(Child, PathBuf, [SocketAddr; 3])> {
         let (internal, callers, admin) = (free_address(), free_address(), free_address());
         let mut settings = format!(
@@ -123,10 +133,12 @@
         let number = fastrand::u64(..);
         let file = std::env::temp_dir().join(format!("kingcup-entry-test-{number:x}.ini"));
         std::fs::write(&file, settings).unwrap();
-        let mut child = Command::new(env!("CARGO_BIN_EXE_kingcup-entry"))
-            .arg("--settings")
+        let mut child = Command::new("sh")
+            .arg("-c")
+            .arg(format!("ulimit -n {files}; exec \"$0\" --settings \"$1\""))
+            .arg(env!("CARGO_BIN_EXE_kingcup-entry"))
             .arg(&file)
-            .stderr(Stdio::null())
+            .stderr(File::create(file.with_extension("log")).unwrap())
             .spawn()
             .unwrap();
         let in_force = wait_for("document in force", || {
@@ -144,6 +156,11 @@
         exchange(address, &format!("GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"))
     }
 
+    /// What the entry has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.file.with_extension("log")).unwrap()
+    }
+
     pub fn status(&self) -> Value {
         wait_for("status", || self.get(self.admin, "/status")).body
     }
--- a/crates/node/tests/entry_api.rs
+++ b/crates/node/tests/entry_api.rs
@@ -225,3 +225,16 @@
     wire.finish(sequence, b"1");
     assert_eq!(started.join().unwrap().code(), 0);
 }
+
+/// Guards against an entry that takes no callers any more once it has had too many of them.
+#[test]
+fn too_many_connections_do_not_end_the_service() {
+    let stage = Stage::open_limited(&[], 96);
+    let many: Vec<TcpStream> =
+        (0..120).filter_map(|_| TcpStream::connect(stage.callers).ok()).collect();
+    assert!(many.len() > 96);
+    // Only when the limit is reached does the entry refuse to accept.
+    common::wait_for("failed accept", || stage.log().contains("accept_failed").then_some(()));
+    drop(many);
+    assert!(stage.home().starts_with("e1-"));
+}
