--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -5,10 +5,11 @@
 use std::{
     io::{self, Read},
     net::{SocketAddr, TcpListener},
+    panic,
     sync::{
         atomic::{AtomicUsize, Ordering},
         mpsc::{sync_channel, Receiver, SyncSender, TrySendError},
-        Arc, Mutex,
+        Arc, Mutex, Once,
     },
     thread,
     time::Duration,
@@ -28,6 +29,10 @@
 /// Bodies up to this size arrive with the head and are read without a thread, in bytes.
 const INLINE_BYTES: usize = 1024;
 
+/// Panics of threads of this process.
+static PANICS: AtomicUsize = AtomicUsize::new(0);
+/// Time between two looks at whether a thread has panicked.
+const LOOK: Duration = Duration::from_millis(500);
 /// Pause before connections are accepted again after an error.
 const RESTART_PAUSE: Duration = Duration::from_millis(100);
 
@@ -140,6 +145,7 @@
     refusal: Refusal,
     fwd: Fwd<Call>,
 ) -> io::Result<Handle> {
+    count_panics();
     let listener = TcpListener::bind(address)?;
     let address = listener.local_addr()?;
     let server = serve(&listener)?;
@@ -158,6 +164,18 @@
     Ok(Handle { address })
 }
 
+/// Counts panics from now on, besides what was done about them before.
+fn count_panics() {
+    static ONCE: Once = Once::new();
+    ONCE.call_once(|| {
+        let before = panic::take_hook();
+        panic::set_hook(Box::new(move |info| {
+            PANICS.fetch_add(1, Ordering::Relaxed);
+            before(info);
+        }));
+    });
+}
+
 fn serve(listener: &TcpListener) -> io::Result<Server> {
     Server::from_listener(listener.try_clone()?, None).map_err(io::Error::other)
 }
@@ -168,9 +186,16 @@
     let mut server = Some(first);
     loop {
         if let Some(server) = &server {
-            while let Ok(request) = server.recv() {
-                nudge.note();
-                intake.clone().take(request);
+            let panics = PANICS.load(Ordering::Relaxed);
+            // An accept thread that panicked, as when an accepted socket cannot be duplicated, says
+            // nothing of it.
+            while let Ok(request) = server.recv_timeout(LOOK) {
+                if let Some(request) = request {
+                    nudge.note();
+                    intake.clone().take(request);
+                } else if PANICS.load(Ordering::Relaxed) != panics {
+                    break;
+                }
             }
             log::error!("event=accept_failed pause_ms={}", RESTART_PAUSE.as_millis());
         }
