--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -18,7 +18,7 @@
     admission::{retry_ms, Demand, Verdict},
     code::{Code, Fate},
     document::{Document, JOB_TASKS},
-    estimate::{Estimate, Rate},
+    estimate::{band, Rate, Runs},
     fair::{Class, Pick, Queue},
     health::{self, Health},
     job::{self, Place},
@@ -43,6 +43,10 @@
 const FREE_PART: u32 = 10;
 /// A kind with waiting tasks for this long is served at its measured rate, in microseconds.
 const BACKLOG_US: u64 = 1_000_000;
+/// Run time by which the wait of a late job is divided, in microseconds; shorter than any real one.
+const LATE_US: u32 = 1;
+/// Time that every task needs beside waiting and running, in microseconds.
+const ROUND_TRIP_US: u64 = 2_000;
 /// Retry hint while there is no upstream or no document, in milliseconds.
 const ABSENT_RETRY_MS: f32 = 1_000.0;
 
@@ -54,7 +58,7 @@
     max_waiting: u32,
     idempotent: bool,
     retired: bool,
-    run: Estimate,
+    run: Runs,
     starts: Rate,
     /// Since when tasks of the kind have been waiting without interruption.
     backlog_us: Option<u64>,
@@ -100,6 +104,8 @@
     /// When the first upstream was connected.
     member_us: Option<u64>,
     actions: Vec<Action>,
+    /// Upstreams with starts to be recalled.
+    recalling: Vec<Upstream>,
 }
 
 fn empty() -> Arc<[u8]> {
@@ -126,11 +132,20 @@
             sent: 0,
             member_us: None,
             actions: Vec::new(),
+            recalling: Vec::new(),
         }
     }
 
     /// The actions since the last call. The list is the caller's to drain.
+    ///
+    /// Recalls are collected until then, so that a wave of cancellations costs each sidecar one.
     pub fn actions(&mut self) -> &mut Vec<Action> {
+        for upstream in std::mem::take(&mut self.recalling) {
+            let sequences = self.fleet.take_recalls(upstream);
+            if !sequences.is_empty() {
+                self.actions.push(Action::Recall(Recall { upstream, sequences, stop: true }));
+            }
+        }
         &mut self.actions
     }
 
@@ -284,7 +299,7 @@
         if row.retryable {
             self.retries.first(now_us);
         }
-        row.declared_us = submission.declared_ms.map(|ms| ms.saturating_mul(1_000));
+        row.band = band(submission.declared_ms);
         let waiting = u32::from(row.waiting);
         let key = self.jobs.add(row);
         self.add_waiting(class, waiting, now_us);
@@ -333,13 +348,12 @@
         if self.jobs.bytes() + bytes > self.settings.max_bytes {
             return Err(self.refusal(Code::Overloaded, Some(ABSENT_RETRY_MS)));
         }
-        let declared_us = submission.declared_ms.map(|ms| ms.saturating_mul(1_000));
         let demand = Demand {
             tasks: submission.payloads.len() as u32,
             waiting: self.queue.classes[class].waiting,
             max_waiting: self.kinds[class].max_waiting,
             free: self.usable_free(class),
-            rate: self.rate(class, declared_us, now_us),
+            rate: self.rate(class, band(submission.declared_ms), now_us),
             deadline_ms: self.kinds[class].deadline_ms,
         };
         match demand.judge() {
@@ -366,7 +380,7 @@
     /// Starts a second that a kind can count on here. Once it has been waiting for a while, this is
     /// the measured rate; before, its share and free slots may
     /// give it more than it has used.
-    fn rate(&self, class: usize, declared_us: Option<u32>, now_us: u64) -> f32 {
+    fn rate(&self, class: usize, band: u8, now_us: u64) -> f32 {
         let kind = &self.kinds[class];
         let measured = kind.starts.per_second(now_us);
         let backlogged =
@@ -377,7 +391,7 @@
         let share = f32::from(self.queue.classes[class].share_percent.max(1)) / 100.0;
         let lent = self.queue.classes[class].own + self.usable_free(class);
         let slots = (share * self.fleet.slots() as f32).max(lent as f32);
-        let run_us = kind.run.expected_us(declared_us).max(1);
+        let run_us = kind.run.mean_us(band).max(1);
         measured.max(slots * 1_000_000.0 / run_us as f32)
     }
 
@@ -391,7 +405,8 @@
             self.fleet.measure(upstream, total_us.saturating_sub(beyond_us));
             self.queue.settle(class, flight.charged_us, finish.run_us);
             if finish.end == End::Done {
-                self.kinds[class].run.record(finish.run_us);
+                let band = self.jobs.get(flight.job).map_or(0, |row| row.band);
+                self.kinds[class].run.record(band, finish.run_us);
             }
         }
         self.report(upstream, &finish.load, now_us);
@@ -513,7 +528,8 @@
     }
 
     /// The link is back. Returns the sequences of the starts whose outcome has to be inquired. With
-    /// a new incarnation of the sidecar, its old starts may have run and there is nothing to ask.
+    /// a new incarnation of the sidecar, its old starts may have run and there is nothing to ask. The
+    /// upstream may get work at once; if its sidecar is closing, the caller reports that again.
     pub fn resumed(&mut self, upstream: Upstream, incarnation: u64, now_us: u64) -> Vec<u64> {
         let Some(row) = self.fleet.get(upstream) else {
             return Vec::new();
@@ -540,10 +556,7 @@
         let recalled: Vec<u64> =
             row.flights.iter().filter(failed).map(|flight| flight.sequence).collect();
         let sequences = row.flights.iter().map(|flight| flight.sequence).collect();
-        if !recalled.is_empty() {
-            let recall = Recall { upstream, sequences: recalled, stop: true };
-            self.actions.push(Action::Recall(recall));
-        }
+        self.add_recalls(upstream, &recalled);
         sequences
     }
 
@@ -598,11 +611,28 @@
         self.pump(now_us);
     }
 
-    /// Jobs of a kind wait in the order of their deadlines, so that the first decides.
+    /// Jobs of a group wait in the order of their deadlines, so that the first decides.
     fn overdue(&self, class: usize, now_us: u64) -> Option<job::Key> {
-        let job = self.jobs.first(class)?;
-        let deadline_us = self.jobs.get(job)?.deadline_us;
-        (deadline_us < now_us).then_some(job)
+        let mut first = self.jobs.first(class);
+        first.find(|(_, row)| row.deadline_us < now_us).map(|(job, _)| job)
+    }
+
+    /// The waiting job of a kind whose wait is the longest in relation to its expected run time. Past
+    /// half of its deadline a job goes before all that are younger.
+    fn first(&self, class: usize, now_us: u64) -> Option<(job::Key, &job::Row)> {
+        let run = &self.kinds[class].run;
+        let mut best: Option<(f32, (job::Key, &job::Row))> = None;
+        for (job, row) in self.jobs.first(class) {
+            let waited_us = now_us.saturating_sub(row.accepted_us) + ROUND_TRIP_US;
+            let late =
+                (now_us.saturating_sub(row.accepted_us)) * 2 > row.deadline_us - row.accepted_us;
+            let expected_us = if late { LATE_US } else { run.mean_us(row.band).max(1) };
+            let ratio = waited_us as f32 / expected_us as f32;
+            if best.as_ref().is_none_or(|(least, _)| ratio > *least) {
+                best = Some((ratio, (job, row)));
+            }
+        }
+        best.map(|(_, first)| first)
     }
 
     /// Takes a start out of those without outcome.
@@ -689,8 +719,7 @@
         self.conclude(job);
     }
 
-    /// Sends one recall to each sidecar that holds starts of the job. Where the link is lost, this is
-    /// done when it is back.
+    /// Recalls the job's starts. Where the link is lost, this is done when it is back.
     fn recall(&mut self, job: job::Key) {
         let Some(row) = self.jobs.get(job) else {
             return;
@@ -702,13 +731,14 @@
         let mut starts: Vec<(Upstream, u64)> = row.tasks.iter().filter_map(place).collect();
         starts.sort_unstable();
         for chunk in starts.chunk_by(|one, other| one.0 == other.0) {
-            let upstream = chunk[0].0;
-            let row = self.fleet.get(upstream);
-            if row.is_none_or(|row| row.state == State::Suspended) {
-                continue;
-            }
-            let sequences = chunk.iter().map(|&(_, sequence)| sequence).collect();
-            self.actions.push(Action::Recall(Recall { upstream, sequences, stop: true }));
+            let sequences: Vec<u64> = chunk.iter().map(|&(_, sequence)| sequence).collect();
+            self.add_recalls(chunk[0].0, &sequences);
+        }
+    }
+
+    fn add_recalls(&mut self, upstream: Upstream, sequences: &[u64]) {
+        if self.fleet.add_recalls(upstream, sequences.iter().copied()) {
+            self.recalling.push(upstream);
         }
     }
 
@@ -773,8 +803,8 @@
         }
         let reason = if pick.within { Reason::Share } else { Reason::Lent };
         let lent = self.queue.leaves_headroom(pick.class, self.fleet.slots());
-        let first = self.jobs.first(pick.class).and_then(|job| self.jobs.get(job));
-        let choice = match first.and_then(|row| row.avoid) {
+        let first = self.first(pick.class, now_us);
+        let choice = match first.and_then(|(_, row)| row.avoid) {
             Some(upstream) => self.fleet.choose_other(upstream, lent, &mut self.rng),
             None => self.fleet.choose(lent, &mut self.rng),
         };
@@ -797,7 +827,7 @@
     fn start(&mut self, pick: Pick, choice: &Choice, reason: Reason, now_us: u64) {
         let class = pick.class;
         let lent = self.queue.leaves_headroom(class, self.fleet.slots());
-        let Some((job, task)) = self.take_waiting(class) else {
+        let Some((job, task)) = self.take_waiting(class, now_us) else {
             return;
         };
         let Some(row) = self.jobs.get(job) else {
@@ -805,7 +835,7 @@
         };
         let (accepted_us, deadline_us) = (row.accepted_us, row.deadline_us);
         let payload = row.tasks[usize::from(task)].bytes.clone();
-        let cost_us = self.kinds[class].run.mean_us();
+        let cost_us = self.kinds[class].run.all.mean_us();
         self.queue.charge(class, cost_us);
         self.kinds[class].starts.record(now_us);
         let upstream = choice.upstream;
@@ -870,14 +900,14 @@
         let (mut sum_us, mut starts) = (0.0, 0.0);
         for (kind, class) in self.kinds.iter().zip(&self.queue.classes) {
             let weight = class.own as f32;
-            sum_us += weight * kind.run.mean_us() as f32;
+            sum_us += weight * kind.run.all.mean_us() as f32;
             starts += weight;
         }
         sum_us / f32::max(starts, 1.0)
     }
 
-    fn take_waiting(&mut self, class: usize) -> Option<(job::Key, u16)> {
-        let job = self.jobs.first(class)?;
+    fn take_waiting(&mut self, class: usize, now_us: u64) -> Option<(job::Key, u16)> {
+        let (job, _) = self.first(class, now_us)?;
         let task = self.jobs.take_waiting(job)?;
         self.remove_waiting(class, 1);
         Some((job, task))
@@ -892,7 +922,7 @@
             max_waiting: 0,
             idempotent: false,
             retired: false,
-            run: Estimate::default(),
+            run: Runs::default(),
             starts: Rate::default(),
             backlog_us: None,
         }
