--- /dev/null
+++ b/crates/dispatch/src/engine/outcome.rs
@@ -0,0 +1,273 @@
+//! Outcomes of starts, and the end of jobs.
+
+use std::sync::Arc;
+
+use slotmap::Key as _;
+
+use crate::{
+    code::{Code, Fate},
+    engine::{empty, Action, Answer, End, Engine, Finish, Held, Report},
+    health,
+    job::{self, Place},
+    retry::Attempt,
+    route::{Flight, Load, State, Upstream},
+};
+
+impl Engine {
+    /// A task ended at a sidecar.
+    pub fn finish(&mut self, upstream: Upstream, finish: &Finish<'_>, now_us: u64) {
+        let flight = self.land(upstream, finish.sequence);
+        if let Some(flight) = flight {
+            let class = usize::from(flight.class);
+            let beyond_us = u64::from(finish.queue_us) + u64::from(finish.run_us);
+            let total_us = now_us.saturating_sub(flight.sent_us);
+            self.fleet.measure(upstream, total_us.saturating_sub(beyond_us));
+            self.queue.settle(class, flight.charged_us, finish.run_us);
+            if finish.end == End::Done {
+                let band = self.jobs.get(flight.job).map_or(0, |row| row.band);
+                self.kinds[class].run.record(band, finish.run_us);
+            }
+        }
+        self.report(upstream, &finish.load, now_us);
+        if let Some(flight) = flight {
+            self.judge(upstream, flight.job, finish.end, now_us);
+            self.end(upstream, &flight, finish.end, finish.body.clone(), now_us);
+        }
+        self.pump(now_us);
+    }
+
+    /// Counts for or against an upstream how a task ended there.
+    pub(super) fn judge(&mut self, upstream: Upstream, job: job::Key, end: End, now_us: u64) {
+        let slots = self.fleet.get(upstream).map_or(0, |row| row.slots);
+        let job = job.data().as_ffi();
+        match end {
+            End::Done => {
+                self.health.succeeded(upstream, job, slots, now_us);
+            }
+            End::Failed(Code::TaskFailed) | End::Unknown(Code::UpstreamTimeout) => {
+                self.health.failed(upstream, job, now_us);
+            }
+            End::Failed(_) | End::Unknown(_) => return,
+        }
+        self.apply_health(upstream, now_us);
+    }
+
+    /// Lets routing follow an upstream's health.
+    pub(super) fn apply_health(&mut self, upstream: Upstream, now_us: u64) {
+        let Some(row) = self.fleet.get(upstream) else {
+            return;
+        };
+        let (slots, state, allowance) = (row.slots, row.state, row.allowance);
+        let ejected = matches!(self.health.state(upstream), Some(health::State::Ejected { .. }));
+        let wanted = if ejected { State::Ejected } else { State::Open };
+        let may_change = matches!(state, State::Open | State::Ejected);
+        if may_change && state != wanted {
+            self.ejected.retain(|&other| other != upstream);
+            if ejected {
+                self.ejected.push(upstream);
+            }
+            self.fleet.set_state(upstream, wanted);
+        }
+        let permitted = self.health.allowance(upstream, slots, now_us);
+        // Health counts slots, the window also the gate's queue.
+        let permitted = if permitted >= slots { u16::MAX } else { permitted };
+        if permitted != allowance {
+            self.fleet.set_allowance(upstream, permitted);
+        }
+    }
+
+    /// A start was refused; it was not run and will not be.
+    pub fn refuse(
+        &mut self,
+        upstream: Upstream,
+        sequence: u64,
+        code: Code,
+        load: &Load<'_>,
+        now_us: u64,
+    ) {
+        let flight = self.land(upstream, sequence);
+        self.report(upstream, load, now_us);
+        if code == Code::Closing {
+            self.fleet.set_state(upstream, State::Closing);
+        }
+        if let Some(flight) = flight {
+            self.not_run(&flight, now_us);
+        }
+        self.pump(now_us);
+    }
+
+    /// What became of recalled starts or of those that were inquired about.
+    pub fn fates(&mut self, upstream: Upstream, reports: &[Report], now_us: u64) {
+        for report in reports {
+            match report.held {
+                Held::Never => {
+                    if let Some(flight) = self.land(upstream, report.sequence) {
+                        self.not_run(&flight, now_us);
+                    }
+                }
+                Held::Running => self.runs(upstream, report.sequence),
+                Held::Queued => {}
+                Held::Finished => {
+                    // The finish comes first; without it, only this much is known.
+                    if let Some(flight) = self.land(upstream, report.sequence) {
+                        self.end(
+                            upstream,
+                            &flight,
+                            End::Unknown(Code::UpstreamLost),
+                            empty(),
+                            now_us,
+                        );
+                    }
+                }
+            }
+        }
+        self.pump(now_us);
+    }
+
+    /// A start is known to run; a job that was cancelled can be answered.
+    pub(super) fn runs(&mut self, upstream: Upstream, sequence: u64) {
+        let Some(row) = self.fleet.get(upstream) else {
+            return;
+        };
+        let found = row.flights.binary_search_by_key(&sequence, |flight| flight.sequence);
+        let Ok(index) = found else {
+            return;
+        };
+        let job = row.flights[index].job;
+        if let Some(row) = self.jobs.get_mut(job) {
+            row.unknown |= row.is_failing();
+        }
+        self.conclude(job);
+    }
+
+    /// Takes a start out of those without outcome.
+    pub(super) fn land(&mut self, upstream: Upstream, sequence: u64) -> Option<Flight> {
+        let flight = self.fleet.land(upstream, sequence)?;
+        self.sent -= 1;
+        self.queue.classes[usize::from(flight.class)].own -= 1;
+        Some(flight)
+    }
+
+    /// A start was definitely not run: it is placed again, unless its job has failed.
+    pub(super) fn not_run(&mut self, flight: &Flight, now_us: u64) {
+        self.queue.settle(usize::from(flight.class), flight.charged_us, 0);
+        let Some(row) = self.jobs.get(flight.job) else {
+            return;
+        };
+        if row.is_failing() {
+            self.jobs.end(flight.job, flight.task, Fate::NotRun, empty());
+            self.conclude(flight.job);
+        } else {
+            self.jobs.put_back(flight.job, flight.task);
+            self.add_waiting(usize::from(flight.class), 1, now_us);
+        }
+    }
+
+    pub(super) fn end(
+        &mut self,
+        upstream: Upstream,
+        flight: &Flight,
+        end: End,
+        body: Arc<[u8]>,
+        now_us: u64,
+    ) {
+        let (fate, code) = match end {
+            End::Done => (Fate::Complete, None),
+            End::Failed(code) => (Fate::Failed, Some(code)),
+            End::Unknown(code) => (Fate::MayHaveRun, Some(code)),
+        };
+        if self.run_again(upstream, flight, code, now_us) {
+            return;
+        }
+        let said = if code.is_some() { body.clone() } else { empty() };
+        self.jobs.end(flight.job, flight.task, fate, body);
+        match code {
+            Some(code) => self.fail(flight.job, code, Some(flight.task), said),
+            None => self.conclude(flight.job),
+        }
+    }
+
+    /// Puts a single idempotent request that failed back among the waiting ones, within the budget.
+    pub(super) fn run_again(
+        &mut self,
+        upstream: Upstream,
+        flight: &Flight,
+        code: Option<Code>,
+        now_us: u64,
+    ) -> bool {
+        let Some(row) = self.jobs.get_mut(flight.job).filter(|row| row.retryable) else {
+            return false;
+        };
+        self.retries.ended(code.is_none(), now_us);
+        let Some(code) = code else {
+            return false;
+        };
+        let attempt = Attempt { idempotent: true, retries: u32::from(row.reruns) };
+        if row.is_failing() || !self.retries.retry(attempt, code, now_us) {
+            return false;
+        }
+        row.reruns += 1;
+        row.avoid = Some(upstream);
+        row.ran |= code.fate() == Fate::Failed;
+        row.unknown |= code.fate() == Fate::MayHaveRun;
+        self.jobs.put_back(flight.job, flight.task);
+        self.add_waiting(usize::from(flight.class), 1, now_us);
+        true
+    }
+
+    /// Fails a job whole: waiting tasks are given up and sent ones recalled.
+    pub(super) fn fail(&mut self, job: job::Key, code: Code, task: Option<u16>, body: Arc<[u8]>) {
+        let Some(row) = self.jobs.get(job) else {
+            return;
+        };
+        if row.is_failing() {
+            self.conclude(job);
+            return;
+        }
+        let class = usize::from(row.class);
+        let waiting = self.jobs.fail(job, code, task, body);
+        self.remove_waiting(class, u32::from(waiting));
+        self.recall(job);
+        self.conclude(job);
+    }
+
+    /// Recalls the job's starts. Where the link is lost, this is done when it is back.
+    pub(super) fn recall(&mut self, job: job::Key) {
+        let Some(row) = self.jobs.get(job) else {
+            return;
+        };
+        let place = |task: &job::Task| match task.place {
+            Place::Sent { upstream, sequence } => Some((upstream, sequence)),
+            Place::Waiting | Place::Ended(_) => None,
+        };
+        let mut starts: Vec<(Upstream, u64)> = row.tasks.iter().filter_map(place).collect();
+        starts.sort_unstable();
+        for chunk in starts.chunk_by(|one, other| one.0 == other.0) {
+            let sequences: Vec<u64> = chunk.iter().map(|&(_, sequence)| sequence).collect();
+            self.add_recalls(chunk[0].0, &sequences);
+        }
+    }
+
+    pub(super) fn add_recalls(&mut self, upstream: Upstream, sequences: &[u64]) {
+        if self.fleet.add_recalls(upstream, sequences.iter().copied()) {
+            self.recalling.push(upstream);
+        }
+    }
+
+    /// Answers a job once its outcome is certain, and forgets it once nothing refers to it.
+    pub(super) fn conclude(&mut self, job: job::Key) {
+        let Some(row) = self.jobs.get_mut(job) else {
+            return;
+        };
+        if !row.answered {
+            let Some(outcome) = row.outcome() else {
+                return;
+            };
+            row.answered = true;
+            self.actions.push(Action::Answer(Answer { job, outcome }));
+        }
+        if row.sent == 0 {
+            self.jobs.remove(job);
+        }
+    }
+}
