--- a/crates/node/tests/sidecar.rs
+++ b/crates/node/tests/sidecar.rs
@@ -30,6 +30,15 @@
     std::net::TcpListener::bind(loopback()).unwrap().local_addr().unwrap()
 }
 
+/// Looks again and again until a condition holds.
+fn wait_until(mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + WAIT;
+    while !holds() {
+        assert!(Instant::now() < end, "condition does not hold");
+        std::thread::park_timeout(Duration::from_millis(5));
+    }
+}
+
 /// The sidecar with its upstream, and the entry's UDP port.
 struct Stage {
     child: Child,
@@ -281,7 +290,7 @@
     let stage = Stage::open();
     let mut link = stage.connect_with_document();
     stage.upstream.control(&Control { refuse_ms: Some(60_000), ..Control::default() });
-    std::thread::sleep(Duration::from_millis(300));
+    wait_until(|| TcpStream::connect(stage.upstream.address()).is_err());
     link.start(1, "{}");
     assert_eq!(link.refusal(1), Some(Code::NoUpstream));
     assert!(stage.upstream.starts().is_empty());
@@ -295,12 +304,10 @@
     let mut old = stage.connect_with_document();
     old.start(1, r#"{"sleep_ms": 200}"#);
     old.start(2, r#"{"sleep_ms": 2000}"#);
-    while stage.upstream.starts().len() < 2 {
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    wait_until(|| stage.upstream.starts().len() == 2);
     let mut new = stage.connect(2);
     assert!(old.find(|frame| matches!(frame, Frame::Load(_)).then_some(())).is_none());
-    std::thread::sleep(Duration::from_millis(300));
+    wait_until(|| stage.get("/status").1.contains(r#""running":1,"#));
     new.send(&Frame::Inquire(Inquire { sequences: vec![1, 2, 3] }));
     assert_eq!(new.finish(1).0, Outcome::Done);
     let held = new.until(|frame| match frame {
@@ -343,9 +350,7 @@
     for sequence in 1..=3 {
         link.start(sequence, r#"{"sleep_ms": 500}"#);
     }
-    while stage.upstream.starts().len() < SLOTS {
-        std::thread::sleep(Duration::from_millis(5));
-    }
+    wait_until(|| stage.upstream.starts().len() == SLOTS);
     stage.signal();
     // `Closing` comes first, so that the entry does not send the refused start here again.
     link.until(|frame| matches!(frame, Frame::Closing).then_some(()));
