--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -239,7 +239,7 @@
     pub first: bool,
     /// Digest of the sender's list of entries.
     pub peers: u64,
-    /// What is asked: `submit`, `show` or `cancel`.
+    /// What is asked: `submit`, `request`, `show` or `cancel`.
     pub verb: &'a str,
     /// The request's JSON body.
     pub body: &'a [u8],
