--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -71,8 +71,8 @@
             ("POST", "/v1/jobs") => self.submit(call, Verb::Submit, now_us),
             ("POST", "/v1/requests") => self.submit(call, Verb::Request, now_us),
             ("POST", "/v1/cancel") => self.cancel(call, now_us),
-            ("GET", path) if path.starts_with(JOBS) => self.show(call, now_us),
-            ("DELETE", path) if path.starts_with(JOBS) => self.cancel_job(call, now_us),
+            ("GET", path) if path.starts_with(JOBS) => self.ask_home(call, Verb::Show, now_us),
+            ("DELETE", path) if path.starts_with(JOBS) => self.ask_home(call, Verb::Cancel, now_us),
             _ => {
                 let refusal = Refusal::bad(format!("no such path: {} {}", call.method, call.path));
                 self.refuse(Waiter::Caller(call.reply), "", &refusal);
@@ -169,7 +169,8 @@
         successor.or(peer).map_or(Home::Refused(Code::HomeUnreachable), Home::Peer)
     }
 
-    fn show(&mut self, call: Call, now_us: u64) {
+    /// Shows or cancels the job that the path names, here or at its home.
+    fn ask_home(&mut self, call: Call, verb: Verb, now_us: u64) {
         let job = path_job(&call);
         let waiter = Waiter::Caller(call.reply);
         let job = match job {
@@ -177,26 +178,10 @@
             Err(refusal) => return self.refuse(waiter, "", &refusal),
         };
         match self.home_of(&job, now_us) {
+            Home::Here if verb == Verb::Cancel => self.cancel_one(waiter, &job, now_us),
             Home::Here => self.show_home(waiter, &job, now_us),
             Home::Peer(peer) => {
-                let ask = ask(Verb::Show, job.to_string(), Vec::new());
-                self.forward(peer, ask, waiter, now_us);
-            }
-            Home::Refused(code) => self.refuse(waiter, &job.to_string(), &Refusal::of(code)),
-        }
-    }
-
-    fn cancel_job(&mut self, call: Call, now_us: u64) {
-        let job = path_job(&call);
-        let waiter = Waiter::Caller(call.reply);
-        let job = match job {
-            Ok(job) => job,
-            Err(refusal) => return self.refuse(waiter, "", &refusal),
-        };
-        match self.home_of(&job, now_us) {
-            Home::Here => self.cancel_one(waiter, &job, now_us),
-            Home::Peer(peer) => {
-                let ask = ask(Verb::Cancel, job.to_string(), Vec::new());
+                let ask = ask(verb, job.to_string(), Vec::new());
                 self.forward(peer, ask, waiter, now_us);
             }
             Home::Refused(code) => self.refuse(waiter, &job.to_string(), &Refusal::of(code)),
