Serve preemptible jobs on the operators' platform under leases

An entry holds jobs and places tasks by cores; a sidecar starts runs on its upstream under the entry's lease and its own. The answer to a submission is the result, so the store holds nothing of a job.

--- /dev/null
+++ b/crates/dispatch/src/plan.rs
@@ -0,0 +1,143 @@
+//! Decisions of an entry: which jobs wait, which are refused, and where their tasks go.
+//!
+//! Jobs wait at the entry in order of the latest time at which they can start and still meet their
+//! objective. Tasks go to sidecars only when room is known to be free, so that a wrong choice costs
+//! one round trip and not a wait.
+
+pub mod action;
+mod estimate;
+mod job;
+mod place;
+mod worker;
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    sync::Arc,
+};
+
+use slotmap::SlotMap;
+
+pub use action::{Answer, Effect};
+pub use job::{Key as Job, Submission};
+pub use worker::{Load, Worker};
+
+use self::{estimate::Estimate, job::Record, worker::Member};
+use crate::worker as sidecar;
+
+/// Time after the last renewal that this entry sent until a run at an unreachable sidecar has
+/// certainly ended, in microseconds: the entry's lease there, then the sidecar's lease at its
+/// upstream on a clock that is slow, then the time of a stop.
+pub const GONE_US: u64 = sidecar::ENTRY_LEASE_US
+    + sidecar::UPSTREAM_LEASE_US * (1000 + sidecar::SLOW_CLOCK_PERMILLE) / 1000
+    + sidecar::STOP_US;
+/// Longest wait of a start at a sidecar, in microseconds. It covers a race of several entries for the
+/// same room; beyond it the entry knows better.
+pub const SIDECAR_WAIT_US: u64 = 30_000;
+/// Time after which a job that cannot be done in time is too late to earn anything, as a multiple of
+/// its objective; from the platform's rules.
+const LATE_FACTOR: u64 = 3;
+/// Shortest and longest time after which a refused caller is told to return, in milliseconds.
+const RETRY_MS: (u64, u64) = (50, 1_000);
+
+/// Where a task of a job is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Place {
+    job: Job,
+    task: u16,
+}
+
+/// A start that was sent.
+#[derive(Debug)]
+struct Sent {
+    place: Place,
+    worker: Worker,
+}
+
+/// Plans the jobs of one entry.
+#[derive(Debug)]
+pub struct Planner {
+    workers: SlotMap<Worker, Member>,
+    jobs: SlotMap<Job, Record>,
+    by_name: HashMap<Arc<str>, Job>,
+    /// Jobs with tasks that wait, by the latest time at which they can start.
+    queue: BTreeSet<(u64, u64, Job)>,
+    runs: BTreeMap<u64, Sent>,
+    next_run: u64,
+    next_job: u64,
+    estimates: HashMap<Arc<str>, Estimate>,
+    /// Entries that share the workers, this one included.
+    entries: u64,
+    random: fastrand::Rng,
+    effects: Vec<Effect>,
+}
+
+impl Planner {
+    /// Starts without workers and jobs.
+    pub fn open(seed: u64) -> Self {
+        Self {
+            workers: SlotMap::with_key(),
+            jobs: SlotMap::with_key(),
+            by_name: HashMap::new(),
+            queue: BTreeSet::new(),
+            runs: BTreeMap::new(),
+            next_run: 1,
+            next_job: 1,
+            estimates: HashMap::new(),
+            entries: 1,
+            random: fastrand::Rng::with_seed(seed),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Number of entries that share the workers, this one included.
+    pub fn set_entries(&mut self, entries: usize) {
+        self.entries = entries.max(1) as u64;
+    }
+
+    /// Number of jobs that have no answer yet.
+    pub fn unanswered(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Number of jobs of a queue whose tasks all wait.
+    pub fn pending(&self, queue: &str) -> usize {
+        let waits = |job: &&Record| &*job.submission.queue == queue && job.is_untouched();
+        self.jobs.values().filter(waits).count()
+    }
+
+    /// Takes what was decided since the last call.
+    pub fn drain(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Does what is due at this time.
+    pub fn tick(&mut self, now_us: u64) {
+        let gone: Vec<Worker> = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.gone_us.is_some_and(|gone_us| gone_us <= now_us))
+            .map(|(key, _)| key)
+            .collect();
+        for worker in gone {
+            self.lose_runs(worker, |_| true, now_us);
+            self.workers.remove(worker);
+        }
+        let late: Vec<Job> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.due_us(now_us) <= now_us)
+            .map(|(key, _)| key)
+            .collect();
+        for job in late {
+            self.give_up(job, now_us);
+        }
+        self.dispatch(now_us);
+    }
+
+    /// Time at which `tick` has something to do.
+    pub fn next_tick(&self, now_us: u64) -> u64 {
+        let jobs = self.jobs.values().map(|job| job.due_us(now_us));
+        let workers = self.workers.values().filter_map(|worker| worker.gone_us);
+        jobs.chain(workers).min().unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/plan/worker.rs
@@ -0,0 +1,199 @@
+//! Workers as an entry knows them: late, and shared with other entries.
+
+use std::sync::Arc;
+
+use slotmap::new_key_type;
+
+use super::{Planner, GONE_US};
+use crate::worker::Profile;
+
+/// Weight of one run time in a worker's slowness.
+const SLOWNESS_WEIGHT: f64 = 0.1;
+/// Weight of one end in a worker's share of failures.
+const FAILURE_WEIGHT: f64 = 0.2;
+/// Share of failures at which a worker gets one task at a time.
+const FAILING_SHARE: f64 = 0.5;
+/// Time between two tasks at a failing worker, in microseconds.
+const PROBE_INTERVAL_US: u64 = 500_000;
+/// Time for which a worker that refused a start gets no new work, in microseconds.
+const REFUSED_US: u64 = 5_000;
+
+new_key_type! {
+    /// Names a worker at one entry, from a connection to its sidecar until its runs are gone.
+    pub struct Worker;
+}
+
+/// Load that a sidecar reported.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Highest run of this entry that it includes.
+    pub seen: u64,
+    /// Free cores, in thousandths.
+    pub free_cores: i32,
+    /// Free memory, in megabytes.
+    pub free_memory_mb: i32,
+}
+
+/// One worker.
+#[derive(Debug)]
+pub(super) struct Member {
+    pub name: Arc<str>,
+    pub incarnation: u64,
+    pub profile: Profile,
+    pub load: Load,
+    /// Runs that were sent and are not in the load.
+    pub unseen: Vec<(u64, u32, u32)>,
+    pub connected: bool,
+    /// Time at which the runs of an unreachable worker have certainly ended.
+    pub gone_us: Option<u64>,
+    /// Run time as a multiple of the mean over all workers.
+    pub slowness: f64,
+    pub failures: f64,
+    pub avoid_until_us: u64,
+}
+
+impl Member {
+    /// Cores that are free as far as is known, in thousandths.
+    pub fn free_cores(&self) -> i64 {
+        let unseen: i64 = self.unseen.iter().map(|(_, cores, _)| i64::from(*cores)).sum();
+        i64::from(self.load.free_cores) - unseen
+    }
+
+    fn free_memory_mb(&self) -> i64 {
+        let unseen: i64 = self.unseen.iter().map(|(_, _, memory)| i64::from(*memory)).sum();
+        i64::from(self.load.free_memory_mb) - unseen
+    }
+
+    /// True if a task fits now.
+    pub fn fits(&self, cores: u32, memory_mb: u32, now_us: u64) -> bool {
+        self.connected
+            && self.profile.ready
+            && now_us >= self.avoid_until_us
+            && self.free_cores() >= i64::from(cores)
+            && self.free_memory_mb() >= i64::from(memory_mb)
+    }
+
+    /// True if nearly all that it starts fails.
+    pub fn is_failing(&self) -> bool {
+        self.failures >= FAILING_SHARE
+    }
+
+    pub fn sent(&mut self, run: u64, cores: u32, memory_mb: u32, now_us: u64) {
+        self.unseen.push((run, cores, memory_mb));
+        if self.is_failing() {
+            self.avoid_until_us = now_us + PROBE_INTERVAL_US;
+        }
+    }
+
+    pub fn refused(&mut self, run: u64, now_us: u64) {
+        self.unseen.retain(|(unseen, _, _)| *unseen != run);
+        self.avoid_until_us = self.avoid_until_us.max(now_us + REFUSED_US);
+    }
+
+    pub fn completed(&mut self, ratio: Option<f64>) {
+        self.failures *= 1.0 - FAILURE_WEIGHT;
+        if let Some(ratio) = ratio {
+            self.slowness += (ratio.clamp(0.1, 10.0) - self.slowness) * SLOWNESS_WEIGHT;
+        }
+    }
+
+    pub fn failed(&mut self) {
+        self.failures += (1.0 - self.failures) * FAILURE_WEIGHT;
+    }
+}
+
+impl Planner {
+    /// A connection to a sidecar is open. `held` are the runs that it has of this entry; others that
+    /// were sent there are gone.
+    pub fn joined(&mut self, name: &str, incarnation: u64, held: &[u64], now_us: u64) -> Worker {
+        let old: Vec<Worker> = self
+            .workers
+            .iter()
+            .filter(|(_, member)| *member.name == *name && member.incarnation != incarnation)
+            .map(|(key, _)| key)
+            .collect();
+        let known = self
+            .workers
+            .iter()
+            .find(|(_, member)| *member.name == *name && member.incarnation == incarnation);
+        let known = known.map(|(key, _)| key);
+        let key = known.unwrap_or_else(|| {
+            self.workers.insert(Member {
+                name: name.into(),
+                incarnation,
+                profile: Profile::default(),
+                load: Load::default(),
+                unseen: Vec::new(),
+                connected: true,
+                gone_us: None,
+                slowness: 1.0,
+                failures: 0.0,
+                avoid_until_us: 0,
+            })
+        });
+        // A new incarnation takes work only after it has ended what the old one left.
+        for worker in old {
+            if let Some(member) = self.workers.get_mut(worker) {
+                member.connected = false;
+                member.gone_us.get_or_insert(now_us + GONE_US);
+            }
+        }
+        let member = &mut self.workers[key];
+        member.connected = true;
+        member.gone_us = None;
+        member.unseen.clear();
+        self.lose_runs(key, |run| !held.contains(&run), now_us);
+        key
+    }
+
+    /// The connection to a sidecar is lost. What runs there may go on until its leases end.
+    pub fn left(&mut self, worker: Worker, renewed_us: u64) {
+        if let Some(member) = self.workers.get_mut(worker) {
+            member.connected = false;
+            member.gone_us = Some(renewed_us + GONE_US);
+        }
+    }
+
+    /// A sidecar has told what its upstream is.
+    pub fn profile(&mut self, worker: Worker, profile: Profile, now_us: u64) {
+        let Some(member) = self.workers.get_mut(worker) else { return };
+        let name = member.name.clone();
+        let accepting = profile.ready;
+        member.profile = profile;
+        // The incarnation has ended what an earlier one left before it accepts work.
+        if accepting {
+            let old: Vec<Worker> = self
+                .workers
+                .iter()
+                .filter(|(key, member)| *key != worker && member.name == name)
+                .map(|(key, _)| key)
+                .collect();
+            for key in old {
+                self.lose_runs(key, |_| true, now_us);
+                self.workers.remove(key);
+            }
+        }
+        self.dispatch(now_us);
+    }
+
+    /// A sidecar has told its load.
+    pub fn load(&mut self, worker: Worker, load: Load, now_us: u64) {
+        let Some(member) = self.workers.get_mut(worker) else { return };
+        let rose = load.free_cores > member.load.free_cores;
+        member.load = load;
+        member.unseen.retain(|(run, _, _)| *run > load.seen);
+        if rose {
+            self.dispatch(now_us);
+        }
+    }
+
+    /// Cores of all workers of a service that take work, in thousandths.
+    pub(super) fn capacity(&self, service: &str) -> u64 {
+        self.workers
+            .values()
+            .filter(|member| member.connected && member.profile.ready)
+            .filter(|member| *member.profile.service == *service)
+            .map(|member| u64::from(member.profile.cores))
+            .sum()
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,8 @@
 pub mod options;
 pub mod publish;
 pub mod reactor;
+pub mod runs;
 pub mod settings;
 pub mod sidecar;
 pub mod store;
+pub mod web;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -11,7 +11,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 /// Names of the message types, in the order of `index`.
-const TYPES: [&str; 22] = [
+const TYPES: [&str; 23] = [
     "hello",
     "welcome",
     "start",
@@ -34,6 +34,7 @@
     "announce",
     "announce_ack",
     "digest",
+    "run",
 ];
 
 fn index(frame: &Frame<'_>) -> usize {
@@ -60,6 +61,7 @@
         Frame::Announce(_) => 19,
         Frame::AnnounceAck(_) => 20,
         Frame::Digest(_) => 21,
+        Frame::Run(_) => 22,
     }
 }
 
--- /dev/null
+++ b/crates/node/src/runs.rs
@@ -0,0 +1,20 @@
+//! Daemons for jobs whose answer is their result: an entry and a sidecar that exchange runs under
+//! leases. What callers, upstreams and the store speak comes from a border.
+
+pub mod border;
+mod callers;
+pub mod document;
+pub mod entry;
+pub mod mesh;
+pub mod settings;
+pub mod sidecar;
+mod translate;
+mod upstream;
+
+use rustix::time::{clock_gettime, ClockId};
+
+/// Microseconds on a clock that also counts the time for which the VM was suspended.
+pub fn now_us() -> u64 {
+    let now = clock_gettime(ClockId::Boottime);
+    now.tv_sec as u64 * 1_000_000 + now.tv_nsec as u64 / 1000
+}
--- /dev/null
+++ b/crates/node/src/runs/settings.rs
@@ -0,0 +1,152 @@
+//! Settings of the entry and the sidecar for runs.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    path::Path,
+};
+
+use crate::settings::{Fault, Source};
+
+/// Shortest secret, in bytes.
+const SECRET_BYTES: usize = 16;
+
+/// What every process has.
+#[derive(Debug, Clone)]
+pub struct Process {
+    /// Name, unique in the deployment.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Secret that all processes of the deployment share.
+    pub secret: String,
+    /// Internal address. All entries use this port.
+    pub internal: SocketAddr,
+    /// Address for metrics.
+    pub metrics: SocketAddr,
+    /// Internal addresses of entries to try first; others are learned.
+    pub entries: Vec<SocketAddr>,
+}
+
+/// Settings of an entry.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// What every process has.
+    pub process: Process,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for the balancer's readiness checks.
+    pub ready: SocketAddr,
+    /// Address at which upstreams without a sidecar would report.
+    pub control: SocketAddr,
+    /// The store.
+    pub store: SocketAddr,
+    /// Longest time that a stop waits for jobs without an answer, in milliseconds.
+    pub stop_timeout_ms: u64,
+}
+
+/// Settings of a sidecar.
+#[derive(Debug, Clone)]
+pub struct Sidecar {
+    /// What every process has.
+    pub process: Process,
+    /// Address at which the upstream reports.
+    pub control: SocketAddr,
+    /// The upstream.
+    pub upstream: SocketAddr,
+    /// Longest time that a stop waits for runs, in milliseconds.
+    pub stop_timeout_ms: u64,
+}
+
+impl Process {
+    fn read(source: &mut Source) -> Result<Self, Fault> {
+        let secret = source.text("process", "secret")?;
+        if secret.len() < SECRET_BYTES {
+            return Err(source.fault("process", "secret", "too short", "at least 16 bytes"));
+        }
+        let internal = source.address("listen", "internal")?;
+        Ok(Self {
+            name: source.name("process", "name")?,
+            zone: source.name("process", "zone")?,
+            secret,
+            internal,
+            metrics: source.address("listen", "metrics")?,
+            entries: read_entries(source, internal.port())?,
+        })
+    }
+}
+
+/// Reads the list of entries, whose ports are replaced by the internal one.
+fn read_entries(source: &mut Source, port: u16) -> Result<Vec<SocketAddr>, Fault> {
+    let Some(text) = source.optional_text("entries", "seeds")? else { return Ok(Vec::new()) };
+    let mut entries = Vec::new();
+    for part in text.split(',').map(str::trim).filter(|part| !part.is_empty()) {
+        let ip: Option<IpAddr> = match part.parse::<SocketAddr>() {
+            Ok(address) => Some(address.ip()),
+            Err(_) => part.parse().ok(),
+        };
+        let Some(ip) = ip else {
+            let allowed = "IP addresses, separated by commas";
+            return Err(source.fault("entries", "seeds", "not an address", allowed));
+        };
+        entries.push(SocketAddr::new(ip, port));
+    }
+    Ok(entries)
+}
+
+impl Entry {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The first fault found.
+    pub fn open(path: &Path) -> Result<Self, Fault> {
+        Self::read(Source::open(path)?)
+    }
+
+    /// Checks settings.
+    ///
+    /// # Errors
+    ///
+    /// The first fault found.
+    pub fn read(mut source: Source) -> Result<Self, Fault> {
+        let s = &mut source;
+        let settings = Self {
+            process: Process::read(s)?,
+            callers: s.address("listen", "callers")?,
+            ready: s.address("listen", "ready")?,
+            control: s.address("listen", "control")?,
+            store: s.address("store", "address")?,
+            stop_timeout_ms: s.number("limits", "stop_timeout_ms", 5_000, 0..=600_000)?,
+        };
+        source.finish()?;
+        Ok(settings)
+    }
+}
+
+impl Sidecar {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// The first fault found.
+    pub fn open(path: &Path) -> Result<Self, Fault> {
+        Self::read(Source::open(path)?)
+    }
+
+    /// Checks settings.
+    ///
+    /// # Errors
+    ///
+    /// The first fault found.
+    pub fn read(mut source: Source) -> Result<Self, Fault> {
+        let s = &mut source;
+        let settings = Self {
+            process: Process::read(s)?,
+            control: s.address("listen", "control")?,
+            upstream: s.address("upstream", "address")?,
+            stop_timeout_ms: s.number("limits", "stop_timeout_ms", 5_000, 0..=600_000)?,
+        };
+        source.finish()?;
+        Ok(settings)
+    }
+}
--- /dev/null
+++ b/crates/node/src/runs/sidecar.rs
@@ -0,0 +1,439 @@
+//! The sidecar: the only process that calls its upstream.
+
+use std::{collections::HashMap, io, sync::Arc, time::Duration};
+
+use kingcup_dispatch::worker::{Effect, End, Entry, Start, Supervisor};
+use kingcup_wire::{
+    run::{self, Message},
+    Frame, Key, Role,
+};
+use stakker::{
+    actor, call, fwd_to, ret_shutdown, stop, sync::ChannelGuard, timer_min, MinTimerKey, Stakker,
+    CX,
+};
+use stakker_mio::Ready;
+
+use super::{
+    border::{self, Heard},
+    mesh::Mesh,
+    settings, translate,
+    upstream::Token,
+};
+use crate::{
+    link::{Id, Input, Table},
+    reactor,
+    web::{message::Limits, server, Client, Event, Response, Server},
+};
+
+/// Longest sleep, in microseconds.
+const MAX_SLEEP_US: u64 = 100_000;
+/// An entry that is silent on its link for this time is connected to again, in microseconds. It
+/// answers each regular grant, ten a second.
+const SILENT_US: u64 = 800_000;
+/// Limits on messages of the upstream, in bytes; lists of runs and ends are the largest.
+const LIMITS: Limits = Limits { head_bytes: 16 << 10, body_bytes: 1 << 20 };
+/// Connections at the control address.
+const CONTROL_CONNECTIONS: usize = 64;
+
+/// An entry on a link.
+struct Peer {
+    entry: Entry,
+    name: String,
+    config: u64,
+}
+
+/// A running sidecar.
+pub struct Sidecar {
+    pub(super) settings: settings::Sidecar,
+    pub(super) border: border::Sidecar,
+    pub(super) supervisor: Supervisor,
+    pub(super) client: Client<Token>,
+    control: Server,
+    metrics: Server,
+    links: Table,
+    mesh: Mesh,
+    peers: HashMap<Id, Peer>,
+    incarnation: u64,
+    config: (u64, Vec<u8>),
+    timer: MinTimerKey,
+    stop_by_us: Option<u64>,
+    _signals: ChannelGuard,
+}
+
+/// Starts the sidecar's actor in the loop.
+pub fn spawn(
+    stakker: &mut Stakker,
+    settings: settings::Sidecar,
+    border: border::Sidecar,
+) -> stakker::ActorOwn<Sidecar> {
+    actor!(stakker, Sidecar::init(settings, border), ret_shutdown!(stakker))
+}
+
+impl Sidecar {
+    fn init(cx: CX![], settings: settings::Sidecar, border: border::Sidecar) -> Option<Self> {
+        match Self::open(cx, settings, border) {
+            Ok(sidecar) => Some(sidecar),
+            Err(error) => {
+                log::error!("event=start_failed error={error:?}");
+                stakker::fail!(cx, "{}", error);
+                None
+            }
+        }
+    }
+
+    fn open(cx: CX![], settings: settings::Sidecar, border: border::Sidecar) -> io::Result<Self> {
+        let now_us = super::now_us();
+        let fwd = fwd_to!([cx], accept_control() as (Ready));
+        let control = Server::bind(cx, settings.control, LIMITS, CONTROL_CONNECTIONS, fwd)?;
+        let fwd = fwd_to!([cx], accept_metrics() as (Ready));
+        let metrics = Server::bind(cx, settings.process.metrics, LIMITS, CONTROL_CONNECTIONS, fwd)?;
+        let signal = fwd_to!([cx], signal() as (i32));
+        let signals = reactor::signals(cx, signal)?;
+        let incarnation = reactor::incarnation();
+        log::info!(
+            "event=started role=sidecar incarnation={incarnation:x} upstream={} entries={:?}",
+            settings.upstream,
+            settings.process.entries
+        );
+        call!([cx], tick());
+        Ok(Self {
+            supervisor: Supervisor::open(),
+            client: Client::open(LIMITS),
+            control,
+            metrics,
+            links: Table::open(Key::derive(&settings.process.secret)),
+            mesh: Mesh::open(settings.process.internal, &settings.process.entries, now_us),
+            peers: HashMap::new(),
+            incarnation,
+            config: (0, Vec::new()),
+            timer: MinTimerKey::default(),
+            stop_by_us: None,
+            settings,
+            border,
+            _signals: signals,
+        })
+    }
+
+    /// Present time at the start of an event.
+    pub(super) fn wake(&self) -> u64 {
+        super::now_us()
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        let now_us = self.wake();
+        self.expire_calls(now_us);
+        for address in self.mesh.due(now_us) {
+            let link = self.links.dial(cx, address, now_us, Self::link_ready).ok();
+            self.mesh.dialled(address, link, now_us);
+            if let Some(link) = link {
+                self.greet(link);
+            }
+        }
+        self.close_silent(now_us);
+        self.settle(cx, now_us);
+    }
+
+    fn greet(&mut self, link: Id) {
+        let greeting = run::Greeting {
+            role: Role::Sidecar,
+            name: &self.settings.process.name,
+            address: self.settings.process.internal,
+            incarnation: self.incarnation,
+            config: self.config.0,
+        };
+        self.links.send(link, &Frame::Run(Message::Greeting(greeting)));
+    }
+
+    fn close_silent(&mut self, now_us: u64) {
+        let links = self.links.iter();
+        let mut silent: Vec<Id> = links
+            .filter(|(id, link)| self.peers.contains_key(id) && link.heard_us + SILENT_US < now_us)
+            .map(|(id, _)| id)
+            .collect();
+        silent.extend(self.mesh.silent(now_us));
+        for link in silent {
+            self.close(link, "silent", now_us);
+        }
+    }
+
+    fn close(&mut self, link: Id, reason: &str, now_us: u64) {
+        self.links.close(link);
+        self.mesh.closed(link, now_us);
+        if let Some(peer) = self.peers.remove(&link) {
+            log::info!("event=entry_lost entry={} reason={reason}", peer.name);
+            let again = self.peers.values().any(|other| other.entry == peer.entry);
+            if !again {
+                self.supervisor.disconnected(peer.entry);
+            }
+        }
+    }
+
+    fn link_ready(&mut self, cx: CX![], link: Id, ready: Ready) {
+        let now_us = self.wake();
+        if ready.is_writable() && !self.links.writable(link) {
+            self.close(link, "write", now_us);
+            return self.settle(cx, now_us);
+        }
+        let Some(mut input) = self.links.read(link, now_us) else { return };
+        let sound = self.messages(link, &mut input, now_us);
+        match self.links.put_back(link, input) {
+            Some(closed) => self.close(link, &format!("\"{closed:?}\""), now_us),
+            None if !sound => self.close(link, "unexpected_message", now_us),
+            None => {}
+        }
+        self.settle(cx, now_us);
+    }
+
+    /// Handles the messages of one read; false if the connection is to be closed.
+    fn messages(&mut self, link: Id, input: &mut Input, now_us: u64) -> bool {
+        while let Some(frame) = input.take_frame() {
+            let Frame::Run(message) = frame else { return false };
+            let entry = self.peers.get(&link).map(|peer| peer.entry);
+            match (message, entry) {
+                (Message::Greeting(greeting), None) => self.greeted(link, &greeting, now_us),
+                (Message::Renew(number), Some(entry)) => self.supervisor.renew(entry, number),
+                (Message::Start(start), Some(entry)) => self.start(entry, &start, now_us),
+                (Message::Stop(runs), Some(entry)) => {
+                    for run in runs {
+                        self.supervisor.stop(entry, run, now_us);
+                    }
+                }
+                (Message::Config(config), Some(_)) => {
+                    if config.version > self.config.0 {
+                        self.config = (config.version, config.text.to_vec());
+                    }
+                }
+                (Message::Peers(peers), Some(_)) => {
+                    for peer in peers {
+                        self.mesh.learn(peer, now_us);
+                    }
+                }
+                _ => return false,
+            }
+        }
+        true
+    }
+
+    fn greeted(&mut self, link: Id, greeting: &run::Greeting<'_>, now_us: u64) {
+        self.mesh.greeted(link, now_us);
+        let old = self.peers.iter().find(|(_, peer)| peer.name == greeting.name);
+        if let Some(old) = old.map(|(id, _)| *id) {
+            self.close(old, "replaced", now_us);
+        }
+        let (entry, held) = self.supervisor.greet(greeting.name, greeting.incarnation, now_us);
+        log::info!(
+            "event=entry_connected entry={} incarnation={:x} held={}",
+            greeting.name,
+            greeting.incarnation,
+            held.len()
+        );
+        let peer = Peer { entry, name: greeting.name.to_owned(), config: greeting.config };
+        self.peers.insert(link, peer);
+        self.send_ends();
+        self.links.send(link, &Frame::Run(Message::Held(held)));
+        self.send_profile(link);
+        self.send_config(link);
+    }
+
+    /// Hands the newest configuration on to an entry that has an older one.
+    fn send_config(&mut self, link: Id) {
+        let Some(peer) = self.peers.get_mut(&link) else { return };
+        let (version, text) = &self.config;
+        if *version > peer.config {
+            peer.config = *version;
+            let config = run::Config { version: *version, text };
+            self.links.send(link, &Frame::Run(Message::Config(config)));
+        }
+    }
+
+    fn start(&mut self, entry: Entry, start: &run::Start<'_>, now_us: u64) {
+        let spec: Arc<str> = start.spec.into();
+        for task in &start.tasks {
+            let name = (self.border.task)(start.job, start.step, task.index);
+            let start = Start {
+                run: task.run,
+                task: name.into(),
+                attempt: task.attempt,
+                spec: spec.clone(),
+                cores: start.cores,
+                memory_mb: start.memory_mb,
+                grant: start.grant,
+                slack_us: start.rank,
+                wait_us: u64::from(start.wait_ms) * 1000,
+            };
+            self.supervisor.start(entry, start, now_us);
+        }
+    }
+
+    fn send_profile(&mut self, link: Id) {
+        if let Some(profile) = self.supervisor.profile() {
+            let profile = translate::profile_out(&profile);
+            self.links.send(link, &Frame::Run(Message::Profile(profile)));
+        }
+    }
+
+    fn link_of(&self, entry: Entry) -> Option<Id> {
+        self.peers.iter().find(|(_, peer)| peer.entry == entry).map(|(id, _)| *id)
+    }
+
+    /// Sends the ends that are among the pending effects, so that they precede what follows.
+    fn send_ends(&mut self) {
+        let effects = self.supervisor.drain();
+        let mut ends: Vec<(Entry, End)> = Vec::new();
+        for effect in effects {
+            match effect {
+                Effect::Ended { entry, end } => ends.push((entry, end)),
+                other => self.supervisor.put_back(other),
+            }
+        }
+        self.send_end_lists(&ends);
+    }
+
+    fn send_end_lists(&mut self, ends: &[(Entry, End)]) {
+        let mut lists: HashMap<Id, Vec<run::End>> = HashMap::new();
+        for (entry, end) in ends {
+            if let Some(link) = self.link_of(*entry) {
+                lists.entry(link).or_default().push(translate::end_out(end));
+            }
+        }
+        for (link, list) in lists {
+            self.links.send(link, &Frame::Run(Message::Ended(list)));
+        }
+    }
+
+    /// Carries out what was decided, sends what is queued and sets the timer.
+    pub(super) fn settle(&mut self, cx: CX![], now_us: u64) {
+        self.supervisor.tick(now_us);
+        // Calls that fail at once lead to further effects.
+        loop {
+            let effects = self.supervisor.drain();
+            if effects.is_empty() {
+                break;
+            }
+            self.carry_out(cx, effects, now_us);
+        }
+        for link in self.links.flush() {
+            self.close(link, "flush", now_us);
+        }
+        if self.stop_if_idle(cx, now_us) {
+            return;
+        }
+        let due = self.supervisor.next_tick(now_us).min(self.client.next_deadline());
+        let sleep = due.saturating_sub(now_us).clamp(1_000, MAX_SLEEP_US);
+        let at = cx.now() + Duration::from_micros(sleep);
+        timer_min!(&mut self.timer, at, [cx], tick());
+    }
+
+    fn carry_out(&mut self, cx: CX![], effects: Vec<Effect>, now_us: u64) {
+        let mut ends = Vec::new();
+        let mut refusals: HashMap<Id, Vec<u64>> = HashMap::new();
+        let mut grants = Vec::new();
+        let mut profile = false;
+        for effect in effects {
+            match effect {
+                Effect::Order { key, order } => self.call_order(cx, key, order, now_us),
+                Effect::Look { .. } => self.call_look(cx, &effect, now_us),
+                Effect::Ended { entry, end } => ends.push((entry, end)),
+                Effect::Refused { entry, run, reason } => {
+                    log::info!("event=start_refused run={run} reason={reason:?}");
+                    if let Some(link) = self.link_of(entry) {
+                        refusals.entry(link).or_default().push(run);
+                    }
+                }
+                Effect::Grant { entry, grant } => grants.push((entry, grant)),
+                Effect::Profile => profile = true,
+            }
+        }
+        if profile {
+            if let Some(profile) = self.supervisor.profile() {
+                log::info!("event=profile name={} accepting={}", profile.name, profile.ready);
+            }
+            let links: Vec<Id> = self.peers.keys().copied().collect();
+            for link in links {
+                self.send_profile(link);
+            }
+        }
+        self.send_end_lists(&ends);
+        for (link, runs) in refusals {
+            self.links.send(link, &Frame::Run(Message::Refused(runs)));
+        }
+        for (entry, grant) in grants {
+            if let Some(link) = self.link_of(entry) {
+                let grant = translate::grant_out(&grant);
+                self.links.send(link, &Frame::Run(Message::Grant(grant)));
+            }
+        }
+    }
+
+    fn accept_control(&mut self, cx: CX![], _: Ready) {
+        let now_us = self.wake();
+        self.control.accept(cx, now_us, Self::control_ready);
+    }
+
+    fn control_ready(&mut self, cx: CX![], id: server::Id, _: Ready) {
+        let now_us = self.wake();
+        let mut event = self.control.read(id, now_us);
+        while let Some(Event::Request(request)) = event {
+            let status = match (self.border.hear)(&request) {
+                Heard::Report { profile, sequence, clock_ms } => {
+                    log::debug!("event=report sequence={sequence} ready={}", profile.ready);
+                    self.supervisor.report(profile, sequence, clock_ms, now_us);
+                    200
+                }
+                Heard::Leave => {
+                    log::info!("event=upstream_leaves");
+                    self.supervisor.leave(now_us);
+                    200
+                }
+                Heard::Unusable(reason) => {
+                    log::warn!("event=report_rejected reason=\"{reason}\"");
+                    400
+                }
+            };
+            self.control.respond(id, &Response::of(status, "application/json", "{}"));
+            event = self.control.next(id);
+        }
+        self.settle(cx, now_us);
+    }
+
+    fn accept_metrics(&mut self, cx: CX![], _: Ready) {
+        let now_us = self.wake();
+        self.metrics.accept(cx, now_us, Self::metrics_ready);
+    }
+
+    fn metrics_ready(&mut self, _: CX![], id: server::Id, _: Ready) {
+        let now_us = self.wake();
+        let mut event = self.metrics.read(id, now_us);
+        while let Some(Event::Request(_)) = event {
+            let text = format!(
+                "kingcup_runs {}\nkingcup_waiting {}\nkingcup_links {}\n",
+                self.supervisor.running(),
+                self.supervisor.waiting(),
+                self.peers.len()
+            );
+            self.metrics.respond(id, &Response::of(200, "text/plain", text));
+            event = self.metrics.next(id);
+        }
+    }
+
+    fn signal(&mut self, cx: CX![], signal: i32) {
+        let now_us = self.wake();
+        if self.stop_by_us.is_none() {
+            log::info!("event=stopping signal={signal} running={}", self.supervisor.running());
+            self.stop_by_us = Some(now_us + self.settings.stop_timeout_ms * 1000);
+            self.supervisor.close(now_us);
+        }
+        self.settle(cx, now_us);
+    }
+
+    fn stop_if_idle(&mut self, cx: CX![], now_us: u64) -> bool {
+        let Some(stop_by_us) = self.stop_by_us else { return false };
+        let idle = self.supervisor.running() == 0 && self.links.unsent() == 0;
+        if !idle && now_us < stop_by_us {
+            return false;
+        }
+        log::info!("event=stopped running={}", self.supervisor.running());
+        stop!(cx);
+        true
+    }
+}
--- /dev/null
+++ b/crates/node/src/runs/translate.rs
@@ -0,0 +1,65 @@
+//! Between the messages and the types of the decisions.
+
+use kingcup_dispatch::{plan, worker};
+use kingcup_wire::run;
+
+pub(super) fn how_out(how: worker::How) -> run::How {
+    match how {
+        worker::How::Done => run::How::Done,
+        worker::How::Failed => run::How::Failed,
+        worker::How::Stopped => run::How::Stopped,
+        worker::How::Lost => run::How::Lost,
+    }
+}
+
+fn how_in(how: run::How) -> worker::How {
+    match how {
+        run::How::Done => worker::How::Done,
+        run::How::Failed => worker::How::Failed,
+        run::How::Stopped => worker::How::Stopped,
+        run::How::Lost => worker::How::Lost,
+    }
+}
+
+pub(super) fn end_out(end: &worker::End) -> run::End {
+    let ran_us = u32::try_from(end.ran_us).unwrap_or(u32::MAX);
+    run::End { run: end.run, how: how_out(end.how), ran_us }
+}
+
+pub(super) fn end_in(end: &run::End) -> worker::End {
+    worker::End { run: end.run, how: how_in(end.how), ran_us: end.ran_us.into() }
+}
+
+pub(super) fn grant_out(grant: &worker::Grant) -> run::Grant {
+    let worker::Grant { number, seen, free_cores, free_memory_mb } = *grant;
+    run::Grant { number, seen, free_cores, free_memory_mb }
+}
+
+pub(super) fn load_in(grant: &run::Grant) -> plan::Load {
+    let run::Grant { seen, free_cores, free_memory_mb, .. } = *grant;
+    plan::Load { seen, free_cores, free_memory_mb }
+}
+
+pub(super) fn profile_out(profile: &worker::Profile) -> run::Profile<'_> {
+    run::Profile {
+        service: &profile.service,
+        zone: &profile.zone,
+        labels: profile.labels.iter().map(|label| &**label).collect(),
+        cores: profile.cores,
+        memory_mb: profile.memory_mb,
+        accepting: profile.ready,
+    }
+}
+
+pub(super) fn profile_in(profile: &run::Profile<'_>, name: &str) -> worker::Profile {
+    worker::Profile {
+        life: 0,
+        name: name.into(),
+        service: profile.service.into(),
+        zone: profile.zone.into(),
+        labels: profile.labels.iter().map(|label| (*label).into()).collect(),
+        cores: profile.cores,
+        memory_mb: profile.memory_mb,
+        ready: profile.accepting,
+    }
+}
--- a/crates/node/src/settings/source.rs
+++ b/crates/node/src/settings/source.rs
@@ -113,6 +113,18 @@
         }
     }
 
+    /// A text, if it is given and not empty.
+    ///
+    /// # Errors
+    ///
+    /// A fault if the section is missing.
+    pub fn optional_text(&mut self, section: &str, key: &str) -> Result<Option<String>, Fault> {
+        if self.ini.section(Some(section)).is_none() {
+            return Err(self.fault(section, key, "section is missing", "a value"));
+        }
+        Ok(self.find(section, key).filter(|text| !text.is_empty()))
+    }
+
     /// Name of a process.
     ///
     /// # Errors
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::run;
+
 /// One message.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Frame<'a> {
@@ -53,6 +55,9 @@
     AnnounceAck(AnnounceAck<'a>),
     /// Entry to entry, by datagram, once a second.
     Digest(Digest<'a>),
+    /// About runs under leases.
+    #[serde(borrow)]
+    Run(run::Message<'a>),
 }
 
 /// What kind of process is speaking.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod codec;
 pub mod frame;
+pub mod run;
 pub mod stream;
 
 pub use codec::{open_datagram, seal_datagram, Fault, Key, DATAGRAM_BYTES, FRAME_BYTES, VERSION};
