--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -125,7 +125,7 @@
         let metrics = metrics::Metrics::open()?;
         Self::open_http(cx, &settings)?;
         let signal = fwd_to!([cx], signal() as (i32));
-        let signals = reactor::signals(cx, signal)?;
+        let signals = reactor::signals(cx, &[reactor::SIGTERM, reactor::SIGINT], signal)?;
         after!(TICK, [cx], tick());
         let now_us = reactor::now_us(cx);
         let incarnation = reactor::incarnation();
--- a/crates/node/src/reactor.rs
+++ b/crates/node/src/reactor.rs
@@ -5,10 +5,8 @@
     time::{Duration, Instant},
 };
 
-use signal_hook::{
-    consts::{SIGINT, SIGTERM},
-    iterator::Signals,
-};
+use signal_hook::iterator::Signals;
+pub use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use stakker::{sync::Channel, Core, Fwd, Stakker};
 use stakker_mio::{
     mio::{Events, Poll},
@@ -50,14 +48,18 @@
     Ok(())
 }
 
-/// Delivers SIGTERM and SIGINT to `fwd`, from a thread of its own.
+/// Delivers the named signals to `fwd`, from a thread of its own.
 ///
 /// # Errors
 ///
 /// The error of installing the handlers.
-pub fn signals(core: &mut Core, fwd: Fwd<i32>) -> io::Result<stakker::sync::ChannelGuard> {
+pub fn signals(
+    core: &mut Core,
+    names: &[i32],
+    fwd: Fwd<i32>,
+) -> io::Result<stakker::sync::ChannelGuard> {
     let (channel, guard) = Channel::new(core, fwd);
-    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let mut signals = Signals::new(names)?;
     std::thread::Builder::new().name("signals".into()).spawn(move || {
         for signal in signals.forever() {
             if !channel.send(signal) {
--- a/crates/node/src/runs.rs
+++ b/crates/node/src/runs.rs
@@ -13,6 +13,11 @@
 
 use rustix::time::{clock_gettime, ClockId};
 
+use crate::reactor;
+
+/// Signals that the daemons handle: stop, and read the settings again.
+const SIGNALS: [i32; 3] = [reactor::SIGTERM, reactor::SIGINT, reactor::SIGHUP];
+
 /// Microseconds on a clock that also counts the time for which the VM was suspended.
 pub fn now_us() -> u64 {
     let now = clock_gettime(ClockId::Boottime);
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -136,7 +136,7 @@
         let fwd = fwd_to!([cx], accept_link() as (Ready));
         let listener = link::listen(cx, settings.process.internal, fwd)?;
         let signal = fwd_to!([cx], signal() as (i32));
-        let signals = reactor::signals(cx, signal)?;
+        let signals = reactor::signals(cx, &super::SIGNALS, signal)?;
         let incarnation = reactor::incarnation();
         log::info!(
             "event=started role=entry incarnation={incarnation:x} internal={} entries={:?}",
@@ -548,8 +548,23 @@
         self.links.send(*link, &Frame::Run(Message::Start(start)));
     }
 
+    /// Takes the entries that the settings file names now. Other settings need a restart.
+    fn reload(&mut self, now_us: u64) {
+        match self.settings.process.reload() {
+            Ok(entries) => {
+                log::info!("event=reloaded entries={entries:?}");
+                self.mesh.set_seeds(&entries, now_us);
+            }
+            Err(fault) => log::error!("event=reload_failed fault=\"{fault}\""),
+        }
+    }
+
     fn signal(&mut self, cx: CX![], signal: i32) {
         let now_us = self.wake();
+        if signal == reactor::SIGHUP {
+            self.reload(now_us);
+            return self.settle(cx, now_us);
+        }
         if self.stopping_us.is_none() {
             log::info!("event=stopping signal={signal} jobs={}", self.planner.unanswered());
             self.stopping_us = Some(now_us);
--- a/crates/node/src/runs/settings.rs
+++ b/crates/node/src/runs/settings.rs
@@ -13,6 +13,8 @@
 /// What every process has.
 #[derive(Debug, Clone)]
 pub struct Process {
+    /// The settings file.
+    pub file: String,
     /// Name, unique in the deployment.
     pub name: String,
     /// Availability zone.
@@ -65,6 +67,7 @@
         }
         let internal = source.address("listen", "internal")?;
         Ok(Self {
+            file: source.file().to_owned(),
             name: source.name("process", "name")?,
             zone: source.name("process", "zone")?,
             secret,
@@ -75,6 +78,18 @@
     }
 }
 
+impl Process {
+    /// Reads the internal addresses of entries from the settings file again.
+    ///
+    /// # Errors
+    ///
+    /// The first fault found; the settings in force stay.
+    pub fn reload(&self) -> Result<Vec<SocketAddr>, Fault> {
+        let mut source = Source::open(Path::new(&self.file))?;
+        read_entries(&mut source, self.internal.port())
+    }
+}
+
 /// Reads the list of entries, whose ports are replaced by the internal one.
 fn read_entries(source: &mut Source, port: u16) -> Result<Vec<SocketAddr>, Fault> {
     let Some(text) = source.optional_text("entries", "seeds")? else { return Ok(Vec::new()) };
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -88,7 +88,7 @@
         let fwd = fwd_to!([cx], accept_metrics() as (Ready));
         let metrics = Server::bind(cx, settings.process.metrics, LIMITS, CONTROL_CONNECTIONS, fwd)?;
         let signal = fwd_to!([cx], signal() as (i32));
-        let signals = reactor::signals(cx, signal)?;
+        let signals = reactor::signals(cx, &super::SIGNALS, signal)?;
         let incarnation = reactor::incarnation();
         log::info!(
             "event=started role=sidecar incarnation={incarnation:x} upstream={} entries={:?}",
@@ -416,8 +416,23 @@
         }
     }
 
+    /// Takes the entries that the settings file names now. Other settings need a restart.
+    fn reload(&mut self, now_us: u64) {
+        match self.settings.process.reload() {
+            Ok(entries) => {
+                log::info!("event=reloaded entries={entries:?}");
+                self.mesh.set_seeds(&entries, now_us);
+            }
+            Err(fault) => log::error!("event=reload_failed fault=\"{fault}\""),
+        }
+    }
+
     fn signal(&mut self, cx: CX![], signal: i32) {
         let now_us = self.wake();
+        if signal == reactor::SIGHUP {
+            self.reload(now_us);
+            return self.settle(cx, now_us);
+        }
         if self.stop_by_us.is_none() {
             log::info!("event=stopping signal={signal} running={}", self.supervisor.running());
             self.stop_by_us = Some(now_us + self.settings.stop_timeout_ms * 1000);
--- a/crates/node/src/settings/source.rs
+++ b/crates/node/src/settings/source.rs
@@ -113,6 +113,11 @@
         }
     }
 
+    /// Name of the file.
+    pub fn file(&self) -> &str {
+        &self.file
+    }
+
     /// A text, if it is given and not empty.
     ///
     /// # Errors
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -104,7 +104,7 @@
         let finished = fwd_to!([cx], finished() as (upstream::Done));
         let callers = upstream::spawn(cx, settings.upstream, settings.slots, finished)?;
         let signal = fwd_to!([cx], signal() as (i32));
-        let signals = reactor::signals(cx, signal)?;
+        let signals = reactor::signals(cx, &[reactor::SIGTERM, reactor::SIGINT], signal)?;
         call!([cx], tick());
         let incarnation = reactor::incarnation();
         log::info!(
