Refuse on arrival by the price of room; order by urgency, then arrival

Ordering by latest start let later arrivals pass what was admitted. Ruled out: processor time (0.018 cores a VM) and races for room. Now the wait ahead is the price of room, kinds count equally over time, and no price exceeds the shortest slack. A job that can no longer meet its objective stays only while nothing else waits. Giving up waits up to 30 ms for what became of the starts, so that not run is said when it is true.

--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -1,10 +1,10 @@
 //! Decisions of an entry: which jobs wait, which are refused, and where their tasks go.
 //!
-//! Jobs wait at the entry in order of the latest time at which they can start and still meet their
-//! objective. Tasks go to sidecars only when room is known to be free, so that a wrong choice costs
+//! Jobs wait at the entry, the most urgent kind first and then by arrival. Tasks go to sidecars only when room is known to be free, so that a wrong choice costs
 //! one round trip and not a wait.
 
 pub mod action;
+mod admission;
 mod estimate;
 mod job;
 mod place;
@@ -21,7 +21,7 @@
 pub use job::{Key as Job, Submission};
 pub use worker::{Load, Worker};
 
-use self::{estimate::Estimate, job::Record, worker::Member};
+use self::{admission::Kinds, estimate::Estimate, job::Record, worker::Member};
 use crate::worker as sidecar;
 
 /// Time after the last renewal that this entry sent until a run at an unreachable sidecar has
@@ -59,12 +59,13 @@
     workers: SlotMap<Worker, Member>,
     jobs: SlotMap<Job, Record>,
     by_name: HashMap<Arc<str>, Job>,
-    /// Jobs with tasks that wait, by the latest time at which they can start.
+    /// Jobs with tasks that wait, by rank.
     queue: BTreeSet<(u64, u64, Job)>,
     runs: BTreeMap<u64, Sent>,
     next_run: u64,
     next_job: u64,
     estimates: HashMap<Arc<str>, Estimate>,
+    kinds: Kinds,
     /// Entries that share the workers, this one included.
     entries: u64,
     random: fastrand::Rng,
@@ -83,6 +84,7 @@
             next_run: 1,
             next_job: 1,
             estimates: HashMap::new(),
+            kinds: Kinds::new(),
             entries: 1,
             random: fastrand::Rng::with_seed(seed),
             effects: Vec::new(),
@@ -125,18 +127,18 @@
         let late: Vec<Job> = self
             .jobs
             .iter()
-            .filter(|(_, job)| job.due_us(now_us) <= now_us)
+            .filter(|(_, job)| job.due_us() <= now_us)
             .map(|(key, _)| key)
             .collect();
         for job in late {
-            self.give_up(job, now_us);
+            self.job_due(job, now_us);
         }
         self.dispatch(now_us);
     }
 
     /// Time at which `tick` has something to do.
-    pub fn next_tick(&self, now_us: u64) -> u64 {
-        let jobs = self.jobs.values().map(|job| job.due_us(now_us));
+    pub fn next_tick(&self) -> u64 {
+        let jobs = self.jobs.values().map(Record::due_us);
         let workers = self.workers.values().filter_map(|worker| worker.gone_us);
         jobs.chain(workers).min().unwrap_or(u64::MAX)
     }
--- /dev/null
+++ b/crates/dispatch/src/plan/admission.rs
@@ -0,0 +1,109 @@
+//! Which jobs are refused on arrival.
+//!
+//! The wait that a new job would have is the price of room. A job is refused once that price is over
+//! what its kind is worth per core: kinds of work count equally over time, so a kind that takes much
+//! of the room is worth less per core than one that takes little. All prices stay below the slack of
+//! the kind that can wait least, so what is admitted still meets its objective.
+
+use std::{collections::HashMap, sync::Arc};
+
+use super::{job::Task, Job, Planner};
+
+/// Time over which the load of a kind is averaged, in microseconds. Long against a burst, so that a
+/// burst of one kind does not make it worthless at once.
+const LOAD_WINDOW_US: f64 = 20_000_000.0;
+/// Weight of a new job in the mean work and slack of its kind.
+const MEAN_WEIGHT: f64 = 0.02;
+/// Part of the shortest slack that a wait may take.
+const SLACK_SHARE: f64 = 0.8;
+/// Wait at which no job is refused, in microseconds: one round trip and the end of a few tasks.
+const FREE_WAIT_US: u64 = 10_000;
+/// Part of a job's worth that does not depend on its size; from the platform's rules on credit.
+const FIXED_WORTH: f64 = 0.3;
+
+/// Load of one kind of work.
+#[derive(Debug, Default)]
+pub(super) struct Kind {
+    /// Core time that was asked for, decayed over the window, in thousandths of core-microseconds.
+    load: f64,
+    load_us: u64,
+    mean_work: f64,
+    mean_slack_us: f64,
+}
+
+impl Kind {
+    fn learn(&mut self, work: f64, slack_us: u64, now_us: u64) {
+        self.load = self.load_at(now_us) + work;
+        self.load_us = now_us;
+        if self.mean_work == 0.0 {
+            self.mean_work = work;
+            self.mean_slack_us = slack_us as f64;
+        }
+        self.mean_work += (work - self.mean_work) * MEAN_WEIGHT;
+        self.mean_slack_us += (slack_us as f64 - self.mean_slack_us) * MEAN_WEIGHT;
+    }
+
+    fn load_at(&self, now_us: u64) -> f64 {
+        let age = now_us.saturating_sub(self.load_us) as f64;
+        self.load * (-age / LOAD_WINDOW_US).exp()
+    }
+
+    /// Worth per core of a job of this much work.
+    fn density(&self, work: f64, now_us: u64) -> f64 {
+        let size = work / self.mean_work.max(1.0);
+        (FIXED_WORTH + (1.0 - FIXED_WORTH) * size) / size.max(0.01) / self.load_at(now_us).max(1.0)
+    }
+}
+
+/// Kinds of work by service and queue.
+pub(super) type Kinds = HashMap<(Arc<str>, Arc<str>), Kind>;
+
+impl Planner {
+    /// True if the job is to be refused on arrival.
+    pub(super) fn is_unaffordable(&mut self, key: Job, now_us: u64) -> bool {
+        let job = &self.jobs[key];
+        let work = job.work();
+        let slack_us = job.latest_us().saturating_sub(now_us);
+        let service = job.submission.service.clone();
+        let name = (service.clone(), job.submission.queue.clone());
+        self.kinds.entry(name.clone()).or_default().learn(work, slack_us, now_us);
+        let Some(wait_us) = self.wait_us(key) else { return false };
+        if wait_us <= FREE_WAIT_US {
+            return false;
+        }
+        if wait_us > slack_us {
+            return true;
+        }
+        let kinds = || self.kinds.iter().filter(|((other, _), _)| *other == service);
+        let dearest = kinds()
+            .map(|(_, kind)| kind.density(kind.mean_work, now_us))
+            .fold(f64::MIN_POSITIVE, f64::max);
+        let shortest_us = kinds().map(|(_, kind)| kind.mean_slack_us).fold(f64::INFINITY, f64::min);
+        let density = self.kinds[&name].density(work, now_us);
+        let price_us = SLACK_SHARE * shortest_us * (density / dearest).min(1.0);
+        wait_us as f64 > price_us
+    }
+
+    /// Time that a job would wait for the work ahead of it at all entries; `None` while no worker is
+    /// known.
+    fn wait_us(&self, key: Job) -> Option<u64> {
+        let job = &self.jobs[key];
+        let capacity = self.capacity(&job.submission.service);
+        if capacity == 0 {
+            return None;
+        }
+        let rank = job.rank();
+        let ahead: f64 = self
+            .queue
+            .iter()
+            .take_while(|(other, _, _)| *other <= rank)
+            .filter_map(|(_, _, key)| self.jobs.get(*key))
+            .filter(|other| other.submission.service == job.submission.service)
+            .map(|other| {
+                let waiting = other.tasks.iter().filter(|task| **task == Task::Waiting).count();
+                other.work() * waiting as f64 / other.tasks.len() as f64
+            })
+            .sum();
+        Some((ahead * self.entries as f64 / capacity as f64) as u64)
+    }
+}
--- a/crates/dispatch/src/plan/job.rs
+++ b/crates/dispatch/src/plan/job.rs
@@ -15,6 +15,14 @@
     pub struct Key;
 }
 
+/// Longest wait for what became of the starts of a job that is given up, in microseconds: a few round
+/// trips to a sidecar.
+const ENDING_US: u64 = 30_000;
+/// Slack between two classes in a sidecar's queue, in microseconds; over the longest wait there.
+const CLASS_SLACK_US: u64 = 100_000;
+/// Position of the class in a rank; times stay below it.
+const CLASS_SHIFT: u32 = 60;
+
 /// A job whose answer is its result.
 #[derive(Debug, Clone)]
 pub struct Submission {
@@ -66,6 +74,15 @@
     /// Starts of each task so far.
     pub starts: Vec<u32>,
     pub failures: Vec<u32>,
+    pub arrived_us: u64,
+    /// Rank under which it is in the queue.
+    pub queued: Option<u64>,
+    /// A task of it has certainly begun.
+    pub ran: bool,
+    /// It is given up, and its answer waits until this time for what becomes of its starts.
+    pub ending_us: Option<u64>,
+    /// It can no longer meet its objective.
+    pub overdue: bool,
     /// Expected run time of a task, in microseconds.
     pub work_us: u64,
     /// Time at which it has met its objective.
@@ -84,18 +101,41 @@
         self.begun == 0
     }
 
+    /// Core time that it takes, in thousandths of core-microseconds.
+    pub fn work(&self) -> f64 {
+        f64::from(self.submission.cores) * self.work_us as f64 * self.tasks.len() as f64
+    }
+
+    /// Order in the queue, less first: what has begun, what is most urgent, then by arrival. What can no
+    /// longer meet its objective comes last.
+    pub fn rank(&self) -> u64 {
+        let class = match (self.overdue, self.is_untouched(), self.submission.priority) {
+            (true, _, _) => 3,
+            (_, false, _) => 0,
+            (_, _, 0) => 1,
+            _ => 2,
+        };
+        class << CLASS_SHIFT | self.arrived_us
+    }
+
+    /// Slack that puts it in order in a sidecar's queue, where starts wait for a few milliseconds.
+    pub fn queue_slack_us(&self) -> u64 {
+        (self.rank() >> CLASS_SHIFT) * CLASS_SLACK_US
+    }
+
     /// Latest start that meets the objective.
     pub fn latest_us(&self) -> u64 {
         self.objective_us.saturating_sub(self.work_us)
     }
 
-    /// Time at which it is given up.
-    pub fn due_us(&self, _now_us: u64) -> u64 {
+    /// Time at which something is to be done about it.
+    pub fn due_us(&self) -> u64 {
         let end = self.late_us.min(self.timeout_us);
-        if self.is_untouched() {
-            end.saturating_sub(self.work_us)
-        } else {
-            end
+        match (self.ending_us, self.is_untouched()) {
+            (Some(ending_us), _) => ending_us,
+            (None, false) => end,
+            (None, true) if self.overdue => end.saturating_sub(self.work_us),
+            (None, true) => end.min(self.latest_us()),
         }
     }
 }
@@ -121,6 +161,11 @@
             tasks: vec![Task::Waiting; tasks],
             starts: vec![0; tasks],
             failures: vec![0; tasks],
+            arrived_us: now_us,
+            queued: None,
+            ran: false,
+            ending_us: None,
+            overdue: false,
             work_us,
             objective_us: now_us + target_us,
             late_us: now_us + target_us * LATE_FACTOR,
@@ -131,7 +176,7 @@
         let id = record.submission.id.clone();
         let key = self.jobs.insert(record);
         self.by_name.insert(id, key);
-        if self.is_hopeless(key, now_us) {
+        if self.is_unaffordable(key, now_us) {
             self.answer(key, Answer::NotRun { retry_ms: self.retry_ms() }, now_us);
             return key;
         }
@@ -140,43 +185,24 @@
         key
     }
 
-    /// True if the job cannot end before it is too late to earn anything.
-    fn is_hopeless(&self, key: Key, now_us: u64) -> bool {
-        let job = &self.jobs[key];
-        let capacity = self.capacity(&job.submission.service);
-        if capacity == 0 {
-            return false;
-        }
-        let own = u64::from(job.submission.cores) * job.work_us * job.tasks.len() as u64;
-        let ahead: u64 = self
-            .queue
-            .iter()
-            .take_while(|(latest_us, _, _)| *latest_us <= job.latest_us())
-            .filter_map(|(_, _, key)| self.jobs.get(*key))
-            .map(|job| {
-                let waiting = job.tasks.iter().filter(|task| **task == Task::Waiting).count();
-                u64::from(job.submission.cores) * job.work_us * waiting as u64
-            })
-            .sum();
-        if ahead == 0 {
-            return false;
-        }
-        let wait_us = (ahead * self.entries + own) / capacity;
-        now_us + wait_us + job.work_us > job.objective_us
-    }
-
     pub(super) fn retry_ms(&self) -> u64 {
         RETRY_MS.0 + (self.random.clone().f64() * (RETRY_MS.1 - RETRY_MS.0) as f64) as u64
     }
 
+    /// Puts a job into the queue, or moves it to its present rank.
     pub(super) fn enqueue(&mut self, key: Key) {
-        let job = &self.jobs[key];
-        self.queue.insert((job.latest_us(), job.serial, key));
+        self.dequeue(key);
+        let job = &mut self.jobs[key];
+        let rank = job.rank();
+        job.queued = Some(rank);
+        self.queue.insert((rank, job.serial, key));
     }
 
     pub(super) fn dequeue(&mut self, key: Key) {
-        let job = &self.jobs[key];
-        self.queue.remove(&(job.latest_us(), job.serial, key));
+        let job = &mut self.jobs[key];
+        if let Some(rank) = job.queued.take() {
+            self.queue.remove(&(rank, job.serial, key));
+        }
     }
 
     /// The caller has left or cancelled: stops all that runs and forgets the job without an answer.
@@ -194,15 +220,51 @@
         self.by_name.get(id).copied()
     }
 
-    /// Ends a job that cannot be done in time.
-    pub(super) fn give_up(&mut self, key: Key, now_us: u64) {
+    /// Does what is due about a job.
+    pub(super) fn job_due(&mut self, key: Key, now_us: u64) {
         let Some(job) = self.jobs.get(key) else { return };
-        let answer = if job.is_untouched() {
-            Answer::NotRun { retry_ms: self.retry_ms() }
+        let end = job.late_us.min(job.timeout_us);
+        let in_reach = now_us + job.work_us < end;
+        if job.ending_us.is_none() && job.is_untouched() && !job.overdue && in_reach {
+            self.overdue(key, now_us);
         } else {
-            Answer::GaveUp
-        };
-        self.answer(key, answer, now_us);
+            self.give_up(key, now_us);
+        }
+    }
+
+    /// A job can no longer meet its objective. It stays only while no other job waits that can.
+    fn overdue(&mut self, key: Key, now_us: u64) {
+        self.jobs[key].overdue = true;
+        self.enqueue(key);
+        let first = self.queue.first().and_then(|(_, _, first)| self.jobs.get(*first));
+        if first.is_some_and(|first| !first.overdue) {
+            self.give_up(key, now_us);
+        }
+    }
+
+    /// Ends a job that cannot be done in time. Whether it has run is known once its sidecars have
+    /// answered the stops.
+    pub(super) fn give_up(&mut self, key: Key, now_us: u64) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        if job.is_untouched() && !job.ran {
+            let answer = Answer::NotRun { retry_ms: self.retry_ms() };
+            return self.answer(key, answer, now_us);
+        }
+        if job.ran || job.ending_us.is_some() {
+            return self.answer(key, Answer::GaveUp, now_us);
+        }
+        job.ending_us = Some(now_us + ENDING_US);
+        self.dequeue(key);
+        self.stop_runs(key);
+    }
+
+    fn stop_runs(&mut self, key: Key) {
+        for task in &self.jobs[key].tasks {
+            let Task::Sent(run) = task else { continue };
+            if let Some(sent) = self.runs.get(run) {
+                self.effects.push(Effect::Stop { worker: sent.worker, run: *run });
+            }
+        }
     }
 
     /// Gives up all jobs, such as after the entry's VM was suspended.
@@ -225,17 +287,12 @@
             return;
         }
         self.dequeue(key);
+        self.stop_runs(key);
         let Some(job) = self.jobs.remove(key) else { return };
         self.effects.push(Effect::Closed { job: key });
         if self.by_name.get(&job.submission.id) == Some(&key) {
             self.by_name.remove(&job.submission.id);
         }
-        for task in &job.tasks {
-            let Task::Sent(run) = task else { continue };
-            if let Some(sent) = self.runs.get(run) {
-                self.effects.push(Effect::Stop { worker: sent.worker, run: *run });
-            }
-        }
         self.dispatch(now_us);
     }
 
@@ -249,6 +306,10 @@
         let key = sent.place.job;
         let index = usize::from(sent.place.task);
         let Some(job) = self.jobs.get_mut(key) else { return };
+        job.ran = true;
+        if job.ending_us.is_some() {
+            return self.answer(key, Answer::GaveUp, now_us);
+        }
         match end.how {
             How::Done => {
                 job.tasks[index] = Task::Done;
@@ -285,7 +346,12 @@
         if let Some(job) = self.jobs.get_mut(sent.place.job) {
             job.begun -= 1;
             job.starts[index] -= 1;
-            self.again(sent.place.job, index, now_us);
+            if job.ending_us.is_none() {
+                self.again(sent.place.job, index, now_us);
+            } else if job.is_untouched() {
+                let answer = Answer::NotRun { retry_ms: self.retry_ms() };
+                self.answer(sent.place.job, answer, now_us);
+            }
         }
     }
 
--- a/crates/dispatch/src/plan/place.rs
+++ b/crates/dispatch/src/plan/place.rs
@@ -13,6 +13,7 @@
         let mut full = Vec::new();
         while let Some(key) = self.next_job(&full) {
             if !self.send_tasks(key, now_us) {
+                self.enqueue(key);
                 full.push(self.jobs[key].submission.service.clone());
             }
         }
@@ -68,7 +69,7 @@
         job.tasks[task] = Task::Sent(run);
         job.starts[task] += 1;
         job.begun += 1;
-        let slack_us = job.latest_us().saturating_sub(now_us);
+        let slack_us = job.queue_slack_us();
         let (cores, memory_mb) = (job.submission.cores, job.submission.memory_mb);
         let attempt = job.starts[task];
         let index = task as u16;
--- a/crates/node/src/reactor.rs
+++ b/crates/node/src/reactor.rs
@@ -5,8 +5,8 @@
     time::{Duration, Instant},
 };
 
-use signal_hook::iterator::Signals;
 pub use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
 use stakker::{sync::Channel, Core, Fwd, Stakker};
 use stakker_mio::{
     mio::{Events, Poll},
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -479,7 +479,7 @@
         if self.stop_if_idle(cx, now_us) {
             return;
         }
-        let due = self.planner.next_tick(now_us).min(self.client.next_deadline());
+        let due = self.planner.next_tick().min(self.client.next_deadline());
         let sleep = due.saturating_sub(now_us).clamp(1_000, MAX_SLEEP_US);
         let at = cx.now() + Duration::from_micros(sleep);
         timer_min!(&mut self.timer, at, [cx], tick());
--- a/crates/node/src/runs/mesh.rs
+++ b/crates/node/src/runs/mesh.rs
@@ -5,9 +5,13 @@
 use crate::link::Id;
 
 /// Time between two attempts to connect to one entry, in microseconds.
-const DIAL_INTERVAL_US: u64 = 200_000;
-/// A connection on which no greeting has arrived is closed after this time, in microseconds.
-const GREETING_US: u64 = 600_000;
+const DIAL_INTERVAL_US: u64 = 100_000;
+/// A connection on which no greeting has arrived is closed after this time, in microseconds. A VM that
+/// is off does not answer, and the opening packet is repeated only after a second; the time doubles
+/// with each failure, for entries that are slow.
+const GREETING_US: u64 = 150_000;
+/// Longest time that a greeting may take, in microseconds.
+const MAX_GREETING_US: u64 = 1_200_000;
 /// An entry that is not in the settings is forgotten when it has not been reached for this time, in
 /// microseconds.
 const FORGET_US: u64 = 15_000_000;
@@ -19,6 +23,7 @@
     dialled_us: u64,
     greeted: bool,
     reached_us: u64,
+    greeting_us: u64,
 }
 
 /// Entries to be connected to.
@@ -58,6 +63,7 @@
                 dialled_us: 0,
                 greeted: false,
                 reached_us: now_us,
+                greeting_us: GREETING_US,
             });
         }
     }
@@ -86,6 +92,7 @@
     pub fn greeted(&mut self, link: Id, now_us: u64) {
         if let Some(contact) = self.contacts.values_mut().find(|c| c.link == Some(link)) {
             contact.greeted = true;
+            contact.greeting_us = GREETING_US;
             contact.reached_us = now_us;
         }
     }
@@ -96,16 +103,17 @@
             contact.link = None;
             if contact.greeted {
                 contact.reached_us = now_us;
+            } else {
+                contact.greeting_us = (contact.greeting_us * 2).min(MAX_GREETING_US);
             }
         }
     }
 
     /// Connections on which no greeting came in time.
     pub fn silent(&self, now_us: u64) -> Vec<Id> {
-        let silent = self
-            .contacts
-            .values()
-            .filter(|contact| !contact.greeted && contact.dialled_us + GREETING_US <= now_us);
+        let silent = self.contacts.values().filter(|contact| {
+            !contact.greeted && contact.dialled_us + contact.greeting_us <= now_us
+        });
         silent.filter_map(|contact| contact.link).collect()
     }
 
