Find slow, hanging and failing workers by the progress of their runs

Cause: tasks on a worker that was slow or stood still held up their jobs to the end, and each entry needed seconds to learn it from ends. A worker is measured against the other tasks of the same job elsewhere; one that is slow gets only what it can end in time, and its runs move where that ends the job sooner. A failed task goes elsewhere. A start waits 5 ms at a sidecar, not 30.

--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -8,6 +8,7 @@
 mod estimate;
 mod job;
 mod place;
+mod progress;
 mod worker;
 
 use std::{
@@ -32,7 +33,7 @@
     + sidecar::STOP_US;
 /// Longest wait of a start at a sidecar, in microseconds. It covers a race of several entries for the
 /// same room; beyond it the entry knows better.
-pub const SIDECAR_WAIT_US: u64 = 30_000;
+pub const SIDECAR_WAIT_US: u64 = 5_000;
 /// Time after which a job that cannot be done in time is too late to earn anything, as a multiple of
 /// its objective; from the platform's rules.
 const LATE_FACTOR: u64 = 3;
@@ -51,6 +52,10 @@
 struct Sent {
     place: Place,
     worker: Worker,
+    /// It is being stopped to run elsewhere.
+    moving: bool,
+    /// Its progress has been measured.
+    measured: bool,
 }
 
 /// Plans the jobs of one entry.
--- a/crates/dispatch/src/plan/job.rs
+++ b/crates/dispatch/src/plan/job.rs
@@ -6,7 +6,7 @@
 
 use super::{
     action::{Answer, Effect},
-    Planner, LATE_FACTOR, RETRY_MS,
+    Planner, Worker, LATE_FACTOR, RETRY_MS,
 };
 use crate::worker::{End, How};
 
@@ -74,7 +74,11 @@
     /// Starts of each task so far.
     pub starts: Vec<u32>,
     pub failures: Vec<u32>,
+    /// Worker at which each task failed last.
+    pub failed_at: Vec<Option<Worker>>,
     pub arrived_us: u64,
+    /// Worker and time of the run of it that takes the shortest time, as far as is known.
+    pub shortest_us: Option<(Worker, u64)>,
     /// Rank under which it is in the queue.
     pub queued: Option<u64>,
     /// A task of it has certainly begun.
@@ -161,7 +165,9 @@
             tasks: vec![Task::Waiting; tasks],
             starts: vec![0; tasks],
             failures: vec![0; tasks],
+            failed_at: vec![None; tasks],
             arrived_us: now_us,
+            shortest_us: None,
             queued: None,
             ran: false,
             ending_us: None,
@@ -314,8 +320,11 @@
             How::Done => {
                 job.tasks[index] = Task::Done;
                 let complete = job.tasks.iter().all(|task| *task == Task::Done);
-                let (queue, work_us) = (job.submission.queue.clone(), job.work_us);
-                self.learn(worker, &queue, work_us, end.ran_us);
+                let queue = job.submission.queue.clone();
+                if !sent.measured {
+                    self.measure(worker, sent.place, end.ran_us, now_us);
+                }
+                self.learn(worker, &queue, end.ran_us, now_us);
                 if complete {
                     self.answer(key, Answer::Completed, now_us);
                 }
@@ -323,8 +332,13 @@
             How::Failed => {
                 job.failures[index] += 1;
                 let failed = job.failures[index] >= job.submission.attempts;
-                if let Some(member) = self.workers.get_mut(worker) {
-                    member.failed();
+                job.failed_at[index] = Some(worker);
+                let mut elsewhere = job.failed_at.iter().flatten();
+                // A job that fails at several workers is bad itself.
+                if elsewhere.all(|other| *other == worker) {
+                    if let Some(member) = self.workers.get_mut(worker) {
+                        member.failed(key);
+                    }
                 }
                 if failed {
                     self.answer(key, Answer::Failed, now_us);
@@ -362,21 +376,15 @@
         self.dispatch(now_us);
     }
 
-    fn learn(&mut self, worker: super::Worker, queue: &Arc<str>, work_us: u64, ran_us: u64) {
+    fn learn(&mut self, worker: Worker, queue: &Arc<str>, ran_us: u64, now_us: u64) {
         let Some(member) = self.workers.get_mut(worker) else { return };
-        member.completed((work_us > 0).then(|| ran_us as f64 / work_us as f64));
-        let slowness = member.slowness;
-        let estimate = self.estimates.entry(queue.clone()).or_default();
-        estimate.learn(ran_us, slowness);
+        member.completed();
+        let slowness = member.slowness(now_us);
+        self.estimates.entry(queue.clone()).or_default().learn(ran_us, slowness);
     }
 
     /// Ends runs at a worker that are certainly gone.
-    pub(super) fn lose_runs(
-        &mut self,
-        worker: super::Worker,
-        gone: impl Fn(u64) -> bool,
-        now_us: u64,
-    ) {
+    pub(super) fn lose_runs(&mut self, worker: Worker, gone: impl Fn(u64) -> bool, now_us: u64) {
         let lost: Vec<u64> = self
             .runs
             .iter()
--- a/crates/dispatch/src/plan/worker.rs
+++ b/crates/dispatch/src/plan/worker.rs
@@ -4,13 +4,18 @@
 
 use slotmap::new_key_type;
 
-use super::{Planner, GONE_US};
+use super::{Job, Planner, GONE_US};
 use crate::worker::Profile;
 
-/// Weight of one run time in a worker's slowness.
-const SLOWNESS_WEIGHT: f64 = 0.1;
+/// Slowness from which a worker gets only what it can still end in time, and its runs are moved.
+const SLOW: f64 = 1.8;
+/// Bounds of one measurement of slowness.
+const MIN_RATIO: f64 = 0.3;
+const MAX_RATIO: f64 = 10.0;
+/// Time in which a slowness that is not measured again returns to a third, in microseconds.
+const FORGET_US: f64 = 4_000_000.0;
 /// Weight of one end in a worker's share of failures.
-const FAILURE_WEIGHT: f64 = 0.2;
+const FAILURE_WEIGHT: f64 = 0.3;
 /// Share of failures at which a worker gets one task at a time.
 const FAILING_SHARE: f64 = 0.5;
 /// Time between two tasks at a failing worker, in microseconds.
@@ -46,9 +51,13 @@
     pub connected: bool,
     /// Time at which the runs of an unreachable worker have certainly ended.
     pub gone_us: Option<u64>,
-    /// Run time as a multiple of the mean over all workers.
-    pub slowness: f64,
-    pub failures: f64,
+    /// Run time as a multiple of the mean over all workers, at `measured_us`.
+    slowness: f64,
+    measured_us: u64,
+    /// Share of starts that failed lately.
+    failures: f64,
+    /// Last job that failed here: its further failures say nothing new.
+    failed_job: Option<Job>,
     pub avoid_until_us: u64,
 }
 
@@ -90,15 +99,41 @@
         self.avoid_until_us = self.avoid_until_us.max(now_us + REFUSED_US);
     }
 
-    pub fn completed(&mut self, ratio: Option<f64>) {
+    /// A run has ended well.
+    pub fn completed(&mut self) {
         self.failures *= 1.0 - FAILURE_WEIGHT;
-        if let Some(ratio) = ratio {
-            self.slowness += (ratio.clamp(0.1, 10.0) - self.slowness) * SLOWNESS_WEIGHT;
-        }
     }
 
-    pub fn failed(&mut self) {
-        self.failures += (1.0 - self.failures) * FAILURE_WEIGHT;
+    /// Takes a run time as a multiple of what was expected.
+    pub fn measured(&mut self, ratio: f64, weight: f64, now_us: u64) {
+        let slowness = self.slowness(now_us);
+        let ratio = ratio.clamp(MIN_RATIO, MAX_RATIO);
+        self.slowness = slowness + (ratio - slowness) * weight;
+        self.measured_us = now_us;
+    }
+
+    /// Run time as a multiple of the mean over all workers. Without measurements it returns to one, so
+    /// that a worker that was slow is tried again.
+    pub fn slowness(&self, now_us: u64) -> f64 {
+        let age = now_us.saturating_sub(self.measured_us) as f64;
+        1.0 + (self.slowness - 1.0) * (-age / FORGET_US).exp()
+    }
+
+    /// True if it is slower than the usual differences between workers and measurements explain.
+    pub fn is_slow(&self, now_us: u64) -> bool {
+        self.slowness(now_us) >= SLOW
+    }
+
+    /// Expected run time of a task of this work.
+    pub fn run_us(&self, work_us: u64, now_us: u64) -> u64 {
+        (work_us as f64 * self.slowness(now_us)) as u64
+    }
+
+    /// A run of a job has failed.
+    pub fn failed(&mut self, job: Job) {
+        if self.failed_job.replace(job) != Some(job) {
+            self.failures += (1.0 - self.failures) * FAILURE_WEIGHT;
+        }
     }
 }
 
@@ -127,7 +162,9 @@
                 connected: true,
                 gone_us: None,
                 slowness: 1.0,
+                measured_us: now_us,
                 failures: 0.0,
+                failed_job: None,
                 avoid_until_us: 0,
             })
         });
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -19,7 +19,7 @@
 pub use action::{Effect, Grant, Order, Reason, Reply};
 pub use entry::Entry;
 pub use look::Look;
-pub use run::{End, How, Start};
+pub use run::{End, How, Progress, Start};
 
 use self::{clock::Clock, entry::Peer, run::Run};
 
--- a/crates/dispatch/src/worker/action.rs
+++ b/crates/dispatch/src/worker/action.rs
@@ -42,6 +42,13 @@
         /// The end.
         end: run::End,
     },
+    /// Tell an entry how far its runs have come.
+    Progress {
+        /// Receiver.
+        entry: Entry,
+        /// The runs.
+        runs: Vec<run::Progress>,
+    },
     /// Tell an entry that a start was not carried out and never will be.
     Refused {
         /// Receiver.
--- a/crates/dispatch/src/worker/entry.rs
+++ b/crates/dispatch/src/worker/entry.rs
@@ -6,13 +6,17 @@
 
 use super::{
     action::{Effect, Grant},
-    run::{self, End},
+    run::{self, End, Progress},
     Reason, Supervisor, ENTRY_LEASE_US, GRANT_INTERVAL_US, LOAD_INTERVAL_US,
 };
 
 /// Time for which ends are kept for an entry whose connection was lost, in microseconds.
 const KEEP_ENDS_US: u64 = 2_000_000;
 
+/// Age at which the progress of a run is reported, in microseconds; a younger one has too little to
+/// tell.
+const PROGRESS_US: u64 = 50_000;
+
 new_key_type! {
     /// Names one incarnation of an entry.
     pub struct Entry;
@@ -27,6 +31,7 @@
     seen: u64,
     connected: bool,
     granted_us: u64,
+    progress_us: u64,
     /// A grant is due at once.
     pressing: bool,
     ends: VecDeque<(u64, End)>,
@@ -70,6 +75,7 @@
                 seen: 0,
                 connected: true,
                 granted_us: 0,
+                progress_us: 0,
                 pressing: true,
                 ends: VecDeque::new(),
             })
@@ -129,6 +135,7 @@
             return;
         }
         for entry in due {
+            self.report_progress(entry, now_us);
             let peer = &mut self.entries[entry];
             peer.granted_us = now_us;
             peer.pressing = false;
@@ -140,6 +147,27 @@
         self.load_changed &= pending;
     }
 
+    /// Tells an entry how far its runs have come, unless it was told lately.
+    fn report_progress(&mut self, entry: Entry, now_us: u64) {
+        let peer = &mut self.entries[entry];
+        if now_us < peer.progress_us + GRANT_INTERVAL_US {
+            return;
+        }
+        peer.progress_us = now_us;
+        let known = self.runs.values().filter(|run| run.entry == entry && run.percent_us > 0);
+        let runs: Vec<Progress> = known
+            .filter(|run| run.percent_us >= run.started_us + PROGRESS_US)
+            .map(|run| Progress {
+                run: run.number,
+                elapsed_us: run.percent_us - run.started_us,
+                percent: run.percent,
+            })
+            .collect();
+        if !runs.is_empty() {
+            self.effects.push(Effect::Progress { entry, runs });
+        }
+    }
+
     /// Cores and memory that neither runs nor waiting starts take.
     fn free(&self) -> (i32, i32) {
         let Some(profile) = &self.profile else { return (0, 0) };
--- a/crates/dispatch/src/worker/look.rs
+++ b/crates/dispatch/src/worker/look.rs
@@ -80,11 +80,13 @@
         }
         let mut listed = Vec::with_capacity(look.running.len());
         let mut strangers = Vec::new();
-        for (task, attempt, _) in look.running {
+        for (task, attempt, percent) in look.running {
             match self.find(&task, attempt) {
                 Some(key) => {
                     listed.push(key);
                     let run = &mut self.runs[key];
+                    run.percent = percent;
+                    run.percent_us = now_us;
                     if matches!(run.state, State::Starting { .. }) {
                         run.state = State::Running { look: number };
                     }
--- a/crates/dispatch/src/worker/order.rs
+++ b/crates/dispatch/src/worker/order.rs
@@ -37,6 +37,8 @@
             memory_mb: start.memory_mb,
             rank_us: now_us + start.slack_us,
             started_us: now_us,
+            percent: 0,
+            percent_us: 0,
             state: State::Waiting { until_us: now_us + start.wait_us },
         });
     }
--- a/crates/dispatch/src/worker/run.rs
+++ b/crates/dispatch/src/worker/run.rs
@@ -58,6 +58,17 @@
     pub ran_us: u64,
 }
 
+/// How far a run has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Progress {
+    /// Number of the run.
+    pub run: u64,
+    /// Time since its start, in microseconds.
+    pub elapsed_us: u64,
+    /// Part of its work that is done.
+    pub percent: u32,
+}
+
 /// State of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum State {
@@ -84,6 +95,9 @@
     /// Latest time to start.
     pub rank_us: u64,
     pub started_us: u64,
+    pub percent: u32,
+    /// Time of the look that gave the percent.
+    pub percent_us: u64,
     pub state: State,
 }
 
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -414,6 +414,11 @@
                         self.planner.ended(&translate::end_in(end), now_us);
                     }
                 }
+                (Message::Progress(runs), Peer::Sidecar { .. }) => {
+                    for progress in &runs {
+                        self.planner.progress(&translate::progress_in(progress), now_us);
+                    }
+                }
                 (Message::Refused(runs), Peer::Sidecar { .. }) => {
                     for run in runs {
                         self.planner.refused(run, now_us);
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -340,6 +340,12 @@
                         refusals.entry(link).or_default().push(run);
                     }
                 }
+                Effect::Progress { entry, runs } => {
+                    if let Some(link) = self.link_of(entry) {
+                        let runs = runs.iter().map(translate::progress_out).collect();
+                        self.links.send(link, &Frame::Run(Message::Progress(runs)));
+                    }
+                }
                 Effect::Grant { entry, grant } => grants.push((entry, grant)),
                 Effect::Profile => profile = true,
             }
--- a/crates/node/src/runs/translate.rs
+++ b/crates/node/src/runs/translate.rs
@@ -63,3 +63,16 @@
         ready: profile.accepting,
     }
 }
+
+pub(super) fn progress_out(progress: &worker::Progress) -> run::Progress {
+    run::Progress {
+        run: progress.run,
+        elapsed_us: u32::try_from(progress.elapsed_us).unwrap_or(u32::MAX),
+        percent: progress.percent.min(100) as u8,
+    }
+}
+
+pub(super) fn progress_in(progress: &run::Progress) -> worker::Progress {
+    let run::Progress { run, elapsed_us, percent } = *progress;
+    worker::Progress { run, elapsed_us: elapsed_us.into(), percent: percent.into() }
+}
--- a/crates/wire/src/run.rs
+++ b/crates/wire/src/run.rs
@@ -27,6 +27,8 @@
     Stop(Vec<u64>),
     /// Sidecar to entry: runs that ended.
     Ended(Vec<End>),
+    /// Sidecar to entry: how far runs have come.
+    Progress(Vec<Progress>),
     /// Sidecar to entry: starts that were not carried out and never will be.
     Refused(Vec<u64>),
     /// Sidecar to entry, after a greeting: all runs that it holds for this entry.
@@ -142,6 +144,17 @@
     pub ran_us: u32,
 }
 
+/// How far a run has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Progress {
+    /// Number of the run.
+    pub run: u64,
+    /// Time since its start, in microseconds.
+    pub elapsed_us: u32,
+    /// Part of its work that is done.
+    pub percent: u8,
+}
+
 /// A configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Config<'a> {
