--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -37,6 +37,9 @@
 const ENTRY_SILENT_US: u64 = 3_500_000;
 /// Time between two lists of entries to each process, in microseconds.
 const PEERS_INTERVAL_US: u64 = 1_000_000;
+/// Time from a new configuration until other entries are told of it, in microseconds. All read it from
+/// the store; those that cannot must have it well within the two seconds that the platform allows.
+const ANNOUNCE_US: u64 = 200_000;
 /// Shortest time between two renewals to one sidecar, in microseconds: load reports come more often
 /// than leases need renewing.
 const RENEW_US: u64 = 60_000;
@@ -71,8 +74,8 @@
     Unknown,
     /// A sidecar, and its worker once it has told what it holds.
     Sidecar { name: String, incarnation: u64, worker: Option<Worker>, grant: u64, renewed_us: u64 },
-    /// An entry, and the version of the configuration that it has.
-    Entry { name: String, config: u64 },
+    /// An entry.
+    Entry { name: String },
 }
 
 /// A running entry.
@@ -98,6 +101,7 @@
     woke_us: u64,
     thawed_us: u64,
     peers_due_us: u64,
+    announce_due_us: Option<u64>,
     stopping_us: Option<u64>,
     _signals: ChannelGuard,
 }
@@ -164,6 +168,7 @@
             woke_us: now_us,
             thawed_us: 0,
             peers_due_us: now_us,
+            announce_due_us: None,
             stopping_us: None,
             settings,
             border,
@@ -207,6 +212,10 @@
             }
         }
         self.close_silent(now_us);
+        if self.announce_due_us.is_some_and(|due_us| due_us <= now_us) {
+            self.announce_due_us = None;
+            self.announce_config();
+        }
         if now_us >= self.peers_due_us {
             self.peers_due_us = now_us + PEERS_INTERVAL_US;
             self.send_peers();
@@ -245,12 +254,12 @@
     fn store_answered(&mut self, result: &Result<Response, Fault>, now_us: u64) {
         let stored = (self.border.stored)(result);
         if let Some(text) = self.document.answered(stored, now_us) {
-            self.offer_config(&text, "store");
+            self.offer_config(&text, "store", now_us);
         }
     }
 
     /// Puts a configuration into force if it is newer, and hands it on.
-    fn offer_config(&mut self, text: &[u8], source: &str) {
+    fn offer_config(&mut self, text: &[u8], source: &str, now_us: u64) {
         let table = match (self.border.config)(text) {
             Ok(table) => table,
             Err(reason) => {
@@ -261,25 +270,52 @@
         let (version, routes) = (table.version(), table.len());
         if self.document.offer(table, text) {
             log::info!("event=config_in_force version={version} routes={routes} source={source}");
-            let links: Vec<Id> = self.peers.keys().copied().collect();
-            for link in links {
-                self.send_config(link);
+            self.announce_due_us = Some(now_us + ANNOUNCE_US);
+        }
+    }
+
+    /// Tells other entries the version in force, and hands the configuration to this entry's share of
+    /// the sidecars. A while after a change nearly all entries have it from the store, and hear only the
+    /// version.
+    fn announce_config(&mut self) {
+        let version = self.document.version();
+        let mut names: Vec<&str> = vec![&self.settings.process.name];
+        for peer in self.peers.values() {
+            if let Peer::Entry { name } = peer {
+                names.push(name);
             }
         }
+        names.sort_unstable();
+        names.dedup();
+        let own = names.iter().position(|name| *name == self.settings.process.name);
+        let mut shares = Vec::new();
+        let mut links = Vec::new();
+        for (link, peer) in &self.peers {
+            match peer {
+                Peer::Entry { .. } => links.push(*link),
+                Peer::Sidecar { name, .. } => {
+                    let sum: usize = name.bytes().map(usize::from).sum();
+                    if Some(sum % names.len()) == own {
+                        shares.push(*link);
+                    }
+                }
+                Peer::Unknown => {}
+            }
+        }
+        for link in links {
+            self.links.send(link, &Frame::Run(Message::Version(version)));
+        }
+        for link in shares {
+            self.send_config(link);
+        }
     }
 
     fn send_config(&mut self, link: Id) {
         let version = self.document.version();
-        if version == 0 {
-            return;
+        if version > 0 {
+            let config = run::Config { version, text: self.document.text() };
+            self.links.send(link, &Frame::Run(Message::Config(config)));
         }
-        match self.peers.get_mut(&link) {
-            Some(Peer::Entry { config, .. }) if *config < version => *config = version,
-            Some(Peer::Sidecar { .. }) => {}
-            _ => return,
-        }
-        let config = run::Config { version, text: self.document.text() };
-        self.links.send(link, &Frame::Run(Message::Config(config)));
     }
 
     fn greet(&mut self, link: Id) {
@@ -306,7 +342,7 @@
             .peers
             .values()
             .filter_map(|peer| match peer {
-                Peer::Entry { name, .. } => Some(name.as_str()),
+                Peer::Entry { name } => Some(name.as_str()),
                 _ => None,
             })
             .collect();
@@ -340,7 +376,7 @@
                     self.planner.left(worker, renewed_us);
                 }
             }
-            Some(Peer::Entry { name, .. }) => {
+            Some(Peer::Entry { name }) => {
                 log::info!("event=entry_lost entry={name} reason={reason}");
             }
             Some(Peer::Unknown) | None => {}
@@ -424,13 +460,18 @@
                         self.planner.refused(run, now_us);
                     }
                 }
-                (Message::Config(config), Peer::Entry { config: known, .. }) => {
-                    *known = (*known).max(config.version);
-                    self.offer_config(config.text, "entry");
+                (Message::Config(config), Peer::Entry { .. }) => {
+                    self.offer_config(config.text, "entry", now_us);
                 }
                 (Message::Config(config), Peer::Sidecar { .. }) => {
-                    self.offer_config(config.text, "sidecar");
+                    self.offer_config(config.text, "sidecar", now_us);
+                }
+                (Message::Version(version), Peer::Entry { .. }) => {
+                    if version > self.document.version() {
+                        self.links.send(link, &Frame::Run(Message::Fetch));
+                    }
                 }
+                (Message::Fetch, Peer::Entry { .. }) => self.send_config(link),
                 (Message::Peers(peers), Peer::Entry { .. }) => {
                     for peer in peers {
                         self.mesh.learn(peer, now_us);
@@ -461,11 +502,13 @@
             Role::Entry => {
                 self.mesh.greeted(link, now_us);
                 self.mesh.learn(greeting.address, now_us);
-                Peer::Entry { name, config: greeting.config }
+                if greeting.config > self.document.version() {
+                    self.links.send(link, &Frame::Run(Message::Fetch));
+                }
+                Peer::Entry { name }
             }
         };
         self.peers.insert(link, peer);
-        self.send_config(link);
     }
 
     /// Carries out what was decided, sends what is queued and sets the timer.
--- a/crates/wire/src/run.rs
+++ b/crates/wire/src/run.rs
@@ -33,8 +33,12 @@
     Refused(Vec<u64>),
     /// Sidecar to entry, after a greeting: all runs that it holds for this entry.
     Held(Vec<u64>),
-    /// Entry to entry: newest configuration, as it was read from the store.
+    /// Newest configuration, as it was read from the store.
     Config(Config<'a>),
+    /// Entry to entry: version of the configuration that the sender has.
+    Version(u64),
+    /// Entry to entry: asks for the configuration.
+    Fetch,
     /// Addresses of entries that the sender knows.
     Peers(Vec<SocketAddr>),
 }
