Serve callers that have tried before only with room to spare

Cause: after an outage of all VMs the callers that submit again 1.3 s later, whose objective has passed, took room from those that could still be served in time; entries with few connected sidecars refused for want of room. A caller with less than half of the time that its kind usually has is taken as a repeated one. No job is refused on price within 0.5 s of a new sidecar. Entries that were themselves restarted have not learned the usual time; that remains.

--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -40,6 +40,10 @@
 /// Shortest and longest time after which a refused caller is told to return, in milliseconds.
 const RETRY_MS: (u64, u64) = (50, 1_000);
 
+/// Time from the last new worker after which their number counts in admission, in microseconds: after an
+/// outage of all, sidecars connect within about half a second.
+const SETTLE_US: u64 = 500_000;
+
 /// Where a task of a job is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Place {
@@ -71,6 +75,8 @@
     next_job: u64,
     estimates: HashMap<Arc<str>, Estimate>,
     kinds: Kinds,
+    /// Time from which the workers that are known are taken to be all.
+    settled_us: u64,
     /// Entries that share the workers, this one included.
     entries: u64,
     random: fastrand::Rng,
@@ -90,6 +96,7 @@
             next_job: 1,
             estimates: HashMap::new(),
             kinds: Kinds::new(),
+            settled_us: 0,
             entries: 1,
             random: fastrand::Rng::with_seed(seed),
             effects: Vec::new(),
--- a/crates/dispatch/src/plan/admission.rs
+++ b/crates/dispatch/src/plan/admission.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use super::{job::Task, Job, Planner};
+use super::{job::Task, Job, Planner, Submission};
 
 /// Time over which the load of a kind is averaged, in microseconds. Long against a burst, so that a
 /// burst of one kind does not make it worthless at once.
@@ -18,6 +18,8 @@
 const SLACK_SHARE: f64 = 0.8;
 /// Wait at which no job is refused, in microseconds: one round trip and the end of a few tasks.
 const FREE_WAIT_US: u64 = 10_000;
+/// Part of the usual time to wait below which a caller has tried before.
+const REPEATED_SHARE: f64 = 0.5;
 /// Part of a job's worth that does not depend on its size; from the platform's rules on credit.
 const FIXED_WORTH: f64 = 0.3;
 
@@ -29,6 +31,7 @@
     load_us: u64,
     mean_work: f64,
     mean_slack_us: f64,
+    mean_timeout_us: f64,
 }
 
 impl Kind {
@@ -59,6 +62,22 @@
 pub(super) type Kinds = HashMap<(Arc<str>, Arc<str>), Kind>;
 
 impl Planner {
+    /// True if the caller has tried before: much of the time for which callers of its kind wait has
+    /// passed. Its objective counts from its first attempt, so it is served only with room to spare.
+    pub(super) fn is_repeated(&mut self, submission: &Submission) -> bool {
+        let name = (submission.service.clone(), submission.queue.clone());
+        let kind = self.kinds.entry(name).or_default();
+        let timeout_us = submission.timeout_us as f64;
+        if timeout_us < kind.mean_timeout_us * REPEATED_SHARE {
+            return true;
+        }
+        if kind.mean_timeout_us == 0.0 {
+            kind.mean_timeout_us = timeout_us;
+        }
+        kind.mean_timeout_us += (timeout_us - kind.mean_timeout_us) * MEAN_WEIGHT;
+        false
+    }
+
     /// True if the job is to be refused on arrival.
     pub(super) fn is_unaffordable(&mut self, key: Job, now_us: u64) -> bool {
         let job = &self.jobs[key];
@@ -68,7 +87,7 @@
         let name = (service.clone(), job.submission.queue.clone());
         self.kinds.entry(name.clone()).or_default().learn(work, slack_us, now_us);
         let Some(wait_us) = self.wait_us(key) else { return false };
-        if wait_us <= FREE_WAIT_US {
+        if wait_us <= FREE_WAIT_US || now_us < self.settled_us {
             return false;
         }
         if wait_us > slack_us {
--- a/crates/dispatch/src/plan/job.rs
+++ b/crates/dispatch/src/plan/job.rs
@@ -159,6 +159,7 @@
         let work_us = estimate.expect_us(submission.declared_us);
         let target_us = work_us * submission.stretch_permille / 1000 + submission.allowance_us;
         let tasks = usize::from(submission.tasks);
+        let repeated = self.is_repeated(&submission);
         self.next_job += 1;
         let record = Record {
             serial: self.next_job,
@@ -171,10 +172,11 @@
             queued: None,
             ran: false,
             ending_us: None,
-            overdue: false,
+            overdue: repeated,
             work_us,
-            objective_us: now_us + target_us,
-            late_us: now_us + target_us * LATE_FACTOR,
+            objective_us: now_us + if repeated { 0 } else { target_us },
+            late_us: now_us
+                + if repeated { submission.timeout_us } else { target_us * LATE_FACTOR },
             timeout_us: now_us + submission.timeout_us,
             begun: 0,
             submission,
@@ -182,12 +184,15 @@
         let id = record.submission.id.clone();
         let key = self.jobs.insert(record);
         self.by_name.insert(id, key);
-        if self.is_unaffordable(key, now_us) {
+        if !repeated && self.is_unaffordable(key, now_us) {
             self.answer(key, Answer::NotRun { retry_ms: self.retry_ms() }, now_us);
             return key;
         }
         self.enqueue(key);
         self.dispatch(now_us);
+        if repeated && self.jobs.get(key).is_some_and(Record::is_untouched) {
+            self.give_up(key, now_us);
+        }
         key
     }
 
--- a/crates/dispatch/src/plan/worker.rs
+++ b/crates/dispatch/src/plan/worker.rs
@@ -4,7 +4,7 @@
 
 use slotmap::new_key_type;
 
-use super::{Job, Planner, GONE_US};
+use super::{Job, Planner, GONE_US, SETTLE_US};
 use crate::worker::Profile;
 
 /// Slowness from which a worker gets only what it can still end in time, and its runs are moved.
@@ -152,6 +152,9 @@
             .iter()
             .find(|(_, member)| *member.name == *name && member.incarnation == incarnation);
         let known = known.map(|(key, _)| key);
+        if known.is_none() {
+            self.settled_us = now_us + SETTLE_US;
+        }
         let key = known.unwrap_or_else(|| {
             self.workers.insert(Member {
                 name: name.into(),
