--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -75,6 +75,8 @@
     next_job: u64,
     estimates: HashMap<Arc<str>, Estimate>,
     kinds: Kinds,
+    /// By service and end of a class of ranks, the mean work that waited lately, and its time.
+    queued: HashMap<(Arc<str>, u64), (f64, u64)>,
     /// Time from which the workers that are known are taken to be all.
     settled_us: u64,
     /// Entries that share the workers, this one included.
@@ -96,6 +98,7 @@
             next_job: 1,
             estimates: HashMap::new(),
             kinds: Kinds::new(),
+            queued: HashMap::new(),
             settled_us: 0,
             entries: 1,
             random: fastrand::Rng::with_seed(seed),
--- a/crates/dispatch/src/plan/admission.rs
+++ b/crates/dispatch/src/plan/admission.rs
@@ -18,6 +18,9 @@
 const SLACK_SHARE: f64 = 0.8;
 /// Wait at which no job is refused, in microseconds: one round trip and the end of a few tasks.
 const FREE_WAIT_US: u64 = 10_000;
+/// Time over which the work that waits is averaged, in microseconds: a few times the wait that is let
+/// happen.
+const QUEUED_WINDOW_US: f64 = 200_000.0;
 /// Part of the usual time to wait below which a caller has tried before.
 const REPEATED_SHARE: f64 = 0.5;
 /// Part of a job's worth that does not depend on its size; from the platform's rules on credit.
@@ -86,7 +89,7 @@
         let service = job.submission.service.clone();
         let name = (service.clone(), job.submission.queue.clone());
         self.kinds.entry(name.clone()).or_default().learn(work, slack_us, now_us);
-        let Some(wait_us) = self.wait_us(key) else { return false };
+        let Some(wait_us) = self.wait_us(key, now_us) else { return false };
         if wait_us <= FREE_WAIT_US || now_us < self.settled_us {
             return false;
         }
@@ -105,24 +108,42 @@
 
     /// Time that a job would wait for the work ahead of it at all entries; `None` while no worker is
     /// known.
-    fn wait_us(&self, key: Job) -> Option<u64> {
+    fn wait_us(&mut self, key: Job, now_us: u64) -> Option<u64> {
         let job = &self.jobs[key];
         let capacity = self.capacity(&job.submission.service);
         if capacity == 0 {
             return None;
         }
-        let rank = job.rank();
-        let ahead: f64 = self
-            .queue
+        let (rank, service) = (job.rank(), job.submission.service.clone());
+        let ahead = self.queued_work(&service, rank);
+        let class_end = job.class_end();
+        let others = (self.entries - 1) as f64 * self.mean_queued(&service, class_end, now_us);
+        Some(((ahead + others) / capacity as f64) as u64)
+    }
+
+    /// Work that waits here for a service, up to a rank, in thousandths of core-microseconds.
+    fn queued_work(&self, service: &str, rank: u64) -> f64 {
+        self.queue
             .iter()
             .take_while(|(other, _, _)| *other <= rank)
             .filter_map(|(_, _, key)| self.jobs.get(*key))
-            .filter(|other| other.submission.service == job.submission.service)
-            .map(|other| {
-                let waiting = other.tasks.iter().filter(|task| **task == Task::Waiting).count();
-                other.work() * waiting as f64 / other.tasks.len() as f64
+            .filter(|job| *job.submission.service == *service)
+            .map(|job| {
+                let waiting = job.tasks.iter().filter(|task| **task == Task::Waiting).count();
+                job.work() * waiting as f64 / job.tasks.len() as f64
             })
-            .sum();
-        Some((ahead * self.entries as f64 / capacity as f64) as u64)
+            .sum()
+    }
+
+    /// Work that waited here lately for a service, up to the end of a class, which stands for what waits at another entry: what waits
+    /// here at one moment is often a single large job.
+    fn mean_queued(&mut self, service: &Arc<str>, class_end: u64, now_us: u64) -> f64 {
+        let queued = self.queued_work(service, class_end);
+        let name = (service.clone(), class_end);
+        let (mean, at_us) = self.queued.entry(name).or_insert((0.0, now_us));
+        let age = now_us.saturating_sub(*at_us) as f64;
+        *mean += (queued - *mean) * (1.0 - (-age / QUEUED_WINDOW_US).exp());
+        *at_us = now_us;
+        *mean
     }
 }
--- a/crates/dispatch/src/plan/job.rs
+++ b/crates/dispatch/src/plan/job.rs
@@ -122,6 +122,11 @@
         class << CLASS_SHIFT | self.arrived_us
     }
 
+    /// Highest rank of its class.
+    pub fn class_end(&self) -> u64 {
+        ((self.rank() >> CLASS_SHIFT) + 1) << CLASS_SHIFT
+    }
+
     /// Slack that puts it in order in a sidecar's queue, where starts wait for a few milliseconds.
     pub fn queue_slack_us(&self) -> u64 {
         (self.rank() >> CLASS_SHIFT) * CLASS_SLACK_US
