--- a/crates/bench/src/runs/world.rs
+++ b/crates/bench/src/runs/world.rs
@@ -84,7 +84,8 @@
 }
 
 enum Event {
-    Arrive(usize, usize),
+    /// Entry, arrival, and whether it is submitted again.
+    Arrive(usize, usize, bool),
     Sidecar(usize, usize, ToSidecar),
     Entry(usize, usize, ToEntry),
     Order(usize, run::Key, Order, bool),
@@ -174,6 +175,7 @@
     cuts: HashMap<(usize, usize), u64>,
     rng: Rng,
     started: HashSet<usize>,
+    left: HashSet<usize>,
     outcome: Outcome,
 }
 
@@ -200,13 +202,14 @@
             cuts: HashMap::new(),
             rng: Rng::with_seed(seed),
             started: HashSet::new(),
+            left: HashSet::new(),
             outcome: Outcome::default(),
         };
         world.connect(seed);
         for index in 0..world.arrivals.len() {
             let at_us = world.arrivals[index].at_us;
             let entry = world.rng.usize(0..size.entries);
-            world.push(at_us, Event::Arrive(entry, index));
+            world.push(at_us, Event::Arrive(entry, index, false));
         }
         for (at_us, fault) in faults {
             world.push(at_us, Event::Fault(fault));
@@ -281,7 +284,7 @@
 
     fn frozen_until(&self, event: &Event) -> Option<u64> {
         let until_us = match event {
-            Event::Arrive(entry, _)
+            Event::Arrive(entry, ..)
             | Event::Entry(_, entry, _)
             | Event::Tick(Process::Entry(entry)) => self.entries[*entry].frozen_until_us,
             Event::Sidecar(_, sidecar, _)
@@ -295,8 +298,18 @@
 
     fn handle(&mut self, event: Event) {
         let now_us = self.now_us;
+        if let Event::Arrive(entry, ..)
+        | Event::Entry(_, entry, _)
+        | Event::Tick(Process::Entry(entry)) = event
+        {
+            if self.entries[entry].planner.wake(now_us) {
+                self.settle_entry(entry);
+            }
+        }
         match event {
-            Event::Arrive(entry, index) => {
+            // The entry sees that the caller has left when it reads the request.
+            Event::Arrive(_, index, false) if self.left.contains(&index) => {}
+            Event::Arrive(entry, index, _) => {
                 let submission =
                     Submission { token: index as u64, ..self.arrivals[index].submission.clone() };
                 let node = &mut self.entries[entry];
@@ -378,19 +391,23 @@
             Fault::Fail(sidecar, failing) => self.sidecars[sidecar].upstream.failing = failing,
             Fault::Delay(share) => self.late = share,
             Fault::Leave(index) => {
+                self.left.insert(index);
                 for entry in 0..self.entries.len() {
                     let node = &mut self.entries[entry];
                     let job = node.jobs.iter().find(|(_, at)| **at == index).map(|(job, _)| *job);
-                    if let Some(job) = job.filter(|_| node.frozen_until_us <= now_us) {
+                    let awake = node.frozen_until_us <= now_us;
+                    if let Some(job) = job.filter(|_| awake) {
                         node.planner.cancel(job, now_us);
                         self.settle_entry(entry);
                     }
                 }
             }
             Fault::Resubmit(index) => {
-                let holds = |node: &EntryNode| node.jobs.values().any(|at| *at == index);
-                if let Some(entry) = self.entries.iter().position(|node| !holds(node)) {
-                    self.handle(Event::Arrive(entry, index));
+                let suits = |node: &EntryNode| {
+                    node.frozen_until_us <= now_us && !node.jobs.values().any(|at| *at == index)
+                };
+                if let Some(entry) = self.entries.iter().rposition(suits) {
+                    self.handle(Event::Arrive(entry, index, true));
                 }
             }
             Fault::Cut(entry, sidecar, for_us) => {
@@ -446,10 +463,7 @@
     ) {
         let node = &mut self.entries[entry];
         let Some(sidecar) = node.workers.iter().position(|key| *key == worker) else { return };
-        let Some(index) = node.jobs.get(&job).copied().or_else(|| self.newest(entry)) else {
-            return;
-        };
-        let node = &mut self.entries[entry];
+        let Some(index) = node.jobs.get(&job).copied() else { return };
         node.renewed_us[sidecar] = self.now_us;
         let submission = &self.arrivals[index].submission;
         let start = Start {
@@ -467,11 +481,6 @@
         self.push(at_us, Event::Sidecar(entry, sidecar, ToSidecar::Start(start)));
     }
 
-    /// The job that an entry has just been handed, which is not in its table yet.
-    fn newest(&self, _: usize) -> Option<usize> {
-        None
-    }
-
     fn to_sidecar(&mut self, entry: usize, sidecar: usize, message: ToSidecar) {
         let now_us = self.now_us;
         let node = &mut self.sidecars[sidecar];
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -40,10 +40,16 @@
 /// Shortest and longest time after which a refused caller is told to return, in milliseconds.
 const RETRY_MS: (u64, u64) = (50, 1_000);
 
-/// Time from the last new worker after which their number counts in admission, in microseconds: after an
-/// outage of all, sidecars connect within about half a second.
+/// Time from the last change of the workers after which their number counts in admission, in microseconds:
+/// after an outage of all, sidecars connect within about half a second.
 const SETTLE_US: u64 = 500_000;
 
+/// Time without an event after which the VM was suspended, in microseconds: the lease of this entry,
+/// and the longest sleep between two events.
+const SUSPENDED_US: u64 = sidecar::ENTRY_LEASE_US + MAX_SLEEP_US;
+/// Longest time between two events of an entry, in microseconds.
+pub const MAX_SLEEP_US: u64 = 100_000;
+
 /// Where a task of a job is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Place {
@@ -77,10 +83,11 @@
     kinds: Kinds,
     /// By service and end of a class of ranks, the mean work that waited lately, and its time.
     queued: HashMap<(Arc<str>, u64), (f64, u64)>,
-    /// Time from which the workers that are known are taken to be all.
+    /// Time from which the workers that are connected are taken to be all.
     settled_us: u64,
     /// Entries that share the workers, this one included.
     entries: u64,
+    woke_us: u64,
     random: fastrand::Rng,
     effects: Vec<Effect>,
 }
@@ -101,11 +108,31 @@
             queued: HashMap::new(),
             settled_us: 0,
             entries: 1,
+            woke_us: 0,
             random: fastrand::Rng::with_seed(seed),
             effects: Vec::new(),
         }
     }
 
+    /// Notes that an event is being handled. True after a suspension of the VM that was longer than the
+    /// leases of this entry: all its runs are being stopped, their callers may have submitted them
+    /// elsewhere, and all jobs are given up.
+    pub fn wake(&mut self, now_us: u64) -> bool {
+        let slept_us = now_us.saturating_sub(std::mem::replace(&mut self.woke_us, now_us));
+        let first = slept_us == now_us;
+        if first {
+            self.settled_us = now_us + SETTLE_US;
+        }
+        let suspended = !first && slept_us > SUSPENDED_US;
+        if suspended {
+            let jobs: Vec<Job> = self.jobs.keys().collect();
+            for job in jobs {
+                self.give_up(job, now_us);
+            }
+        }
+        suspended
+    }
+
     /// Number of entries that share the workers, this one included.
     pub fn set_entries(&mut self, entries: usize) {
         self.entries = entries.max(1) as u64;
--- a/crates/dispatch/src/plan/admission.rs
+++ b/crates/dispatch/src/plan/admission.rs
@@ -89,7 +89,7 @@
         let service = job.submission.service.clone();
         let name = (service.clone(), job.submission.queue.clone());
         self.kinds.entry(name.clone()).or_default().learn(work, slack_us, now_us);
-        let Some(wait_us) = self.wait_us(key, now_us) else { return false };
+        let Some(wait_us) = self.wait_us(key, now_us) else { return now_us >= self.settled_us };
         if wait_us <= FREE_WAIT_US || now_us < self.settled_us {
             return false;
         }
--- a/crates/dispatch/src/plan/job.rs
+++ b/crates/dispatch/src/plan/job.rs
@@ -283,14 +283,6 @@
         }
     }
 
-    /// Gives up all jobs, such as after the entry's VM was suspended.
-    pub fn give_up_all(&mut self, now_us: u64) {
-        let keys: Vec<Key> = self.jobs.keys().collect();
-        for key in keys {
-            self.give_up(key, now_us);
-        }
-    }
-
     pub(super) fn answer(&mut self, key: Key, answer: Answer, now_us: u64) {
         let Some(job) = self.jobs.get(key) else { return };
         let token = job.submission.token;
--- a/crates/dispatch/src/plan/worker.rs
+++ b/crates/dispatch/src/plan/worker.rs
@@ -191,6 +191,7 @@
         if let Some(member) = self.workers.get_mut(worker) {
             member.connected = false;
             member.gone_us = Some(renewed_us + GONE_US);
+            self.settled_us = self.settled_us.max(renewed_us + SETTLE_US);
         }
     }
 
--- /dev/null
+++ b/crates/dispatch/tests/plan.rs
@@ -0,0 +1,234 @@
+//! Jobs at an entry: truthful answers, runs elsewhere, and what is known of workers.
+
+use kingcup_dispatch::{
+    plan::{Answer, Effect, Load, Planner, Submission, Worker, GONE_US},
+    worker::{End, How, Profile},
+};
+use rstest::rstest;
+
+const CORES: i32 = 8_000;
+const NOW_US: u64 = 10_000_000;
+
+fn planner(workers: usize) -> (Planner, Vec<Worker>) {
+    let mut planner = Planner::open(1);
+    let workers = (0..workers).map(|index| join(&mut planner, index)).collect();
+    planner.drain();
+    (planner, workers)
+}
+
+fn join(planner: &mut Planner, index: usize) -> Worker {
+    let worker = planner.joined(&format!("sidecar-{index}"), 1, &[], NOW_US);
+    let profile = Profile {
+        name: "upstream".into(),
+        service: "service".into(),
+        cores: CORES as u32,
+        memory_mb: 1_000,
+        ready: true,
+        ..Profile::default()
+    };
+    planner.profile(worker, profile, NOW_US);
+    planner.load(worker, Load { seen: 0, free_cores: CORES, free_memory_mb: 1_000 }, NOW_US);
+    worker
+}
+
+fn submission(id: &str, tasks: u16) -> Submission {
+    Submission {
+        id: id.into(),
+        token: 7,
+        queue: "queue".into(),
+        service: "service".into(),
+        priority: 1,
+        tasks,
+        cores: 3_000,
+        memory_mb: 64,
+        declared_us: 200_000,
+        stretch_permille: 1_600,
+        allowance_us: 60_000,
+        attempts: 2,
+        timeout_us: 3_000_000,
+        requires: None,
+    }
+}
+
+fn starts(planner: &mut Planner) -> Vec<(Worker, u64)> {
+    let effects = planner.drain();
+    let starts = effects.into_iter().filter_map(|effect| match effect {
+        Effect::Start { worker, run, .. } => Some((worker, run)),
+        _ => None,
+    });
+    starts.collect()
+}
+
+fn answers(planner: &mut Planner) -> Vec<Answer> {
+    let effects = planner.drain();
+    let answers = effects.into_iter().filter_map(|effect| match effect {
+        Effect::Answer { answer, .. } => Some(answer),
+        _ => None,
+    });
+    answers.collect()
+}
+
+fn end(run: u64, how: How) -> End {
+    End { run, how, ran_us: 200_000 }
+}
+
+/// Guards against an answer before all tasks have ended.
+#[test]
+fn a_job_is_complete_with_its_last_task() {
+    let (mut planner, _) = planner(2);
+    planner.submit(submission("a", 3), NOW_US);
+    let runs = starts(&mut planner);
+    assert_eq!(runs.len(), 3);
+    for (_, run) in &runs[..2] {
+        planner.ended(&end(*run, How::Done), NOW_US);
+        assert!(answers(&mut planner).is_empty());
+    }
+    planner.ended(&end(runs[2].1, How::Done), NOW_US);
+    assert_eq!(answers(&mut planner), [Answer::Completed]);
+}
+
+/// Guards against "not run" for a job of which a task has begun, and against the contrary for one that
+/// was only waiting.
+#[rstest]
+#[case::refused(None, true)]
+#[case::stopped(Some(How::Stopped), false)]
+#[case::done(Some(How::Done), false)]
+fn what_became_of_the_starts_decides_the_answer(#[case] how: Option<How>, #[case] not_run: bool) {
+    let (mut planner, _) = planner(1);
+    planner.submit(submission("a", 1), NOW_US);
+    let runs = starts(&mut planner);
+    let late_us = NOW_US + 3 * (320_000 + 60_000);
+    planner.tick(late_us);
+    let stops = planner.drain();
+    assert!(matches!(stops[..], [Effect::Stop { .. }]), "{stops:?}");
+    match how {
+        Some(how) => planner.ended(&end(runs[0].1, how), late_us),
+        None => planner.refused(runs[0].1, late_us),
+    }
+    let answers = answers(&mut planner);
+    assert_eq!(matches!(answers[..], [Answer::NotRun { .. }]), not_run, "{answers:?}");
+    assert_eq!(answers.len(), 1);
+}
+
+/// Guards against an answer that waits for a sidecar that does not answer.
+#[test]
+fn a_job_that_is_given_up_is_answered_without_its_sidecar() {
+    let (mut planner, _) = planner(1);
+    planner.submit(submission("a", 1), NOW_US);
+    planner.drain();
+    let late_us = NOW_US + 3 * (320_000 + 60_000);
+    planner.tick(late_us);
+    planner.tick(late_us + 30_000);
+    assert_eq!(answers(&mut planner), [Answer::GaveUp]);
+}
+
+/// Guards against a second run while the first may go on at a sidecar that cannot be reached.
+#[test]
+fn a_run_at_an_unreachable_sidecar_is_repeated_only_when_it_is_gone() {
+    let (mut planner, workers) = planner(2);
+    planner.submit(Submission { declared_us: 2_000_000, ..submission("a", 1) }, NOW_US);
+    let runs = starts(&mut planner);
+    assert!(workers.contains(&runs[0].0));
+    planner.left(runs[0].0, NOW_US);
+    planner.tick(NOW_US + GONE_US - 1);
+    assert!(starts(&mut planner).is_empty());
+    planner.tick(NOW_US + GONE_US);
+    assert_eq!(starts(&mut planner).len(), 1);
+}
+
+/// Guards against runs that are forgotten when a sidecar comes back without them.
+#[test]
+fn a_run_that_a_sidecar_no_longer_holds_is_repeated() {
+    let (mut planner, _) = planner(1);
+    planner.submit(submission("a", 2), NOW_US);
+    let runs = starts(&mut planner);
+    planner.left(runs[0].0, NOW_US);
+    planner.joined("sidecar-0", 1, &[runs[1].1], NOW_US + 1_000);
+    let load = Load { seen: runs[1].1, free_cores: 5_000, free_memory_mb: 900 };
+    planner.load(runs[0].0, load, NOW_US + 1_000);
+    assert_eq!(starts(&mut planner).len(), 1);
+}
+
+/// Guards against a retry at the worker that has just failed the task.
+#[test]
+fn a_failed_task_goes_to_another_worker_and_fails_its_job_in_the_end() {
+    let (mut planner, _) = planner(2);
+    planner.submit(submission("a", 1), NOW_US);
+    let first = starts(&mut planner);
+    planner.ended(&end(first[0].1, How::Failed), NOW_US);
+    let second = starts(&mut planner);
+    assert_ne!(first[0].0, second[0].0);
+    planner.ended(&end(second[0].1, How::Failed), NOW_US);
+    assert_eq!(answers(&mut planner), [Answer::Failed]);
+}
+
+/// Guards against work for a caller that has left.
+#[test]
+fn a_caller_that_leaves_stops_its_runs() {
+    let (mut planner, _) = planner(2);
+    let job = planner.submit(submission("a", 2), NOW_US);
+    starts(&mut planner);
+    planner.cancel(job, NOW_US);
+    let effects = planner.drain();
+    let stops = effects.iter().filter(|effect| matches!(effect, Effect::Stop { .. })).count();
+    assert_eq!(stops, 2);
+    assert_eq!(planner.unanswered(), 0);
+}
+
+/// Guards against a second set of runs for a job that is submitted again while it is here.
+#[test]
+fn a_job_that_is_submitted_again_goes_on_for_its_new_caller() {
+    let (mut planner, _) = planner(2);
+    let job = planner.submit(submission("a", 1), NOW_US);
+    let runs = starts(&mut planner);
+    let again = planner.submit(Submission { token: 8, ..submission("a", 1) }, NOW_US + 1_000);
+    assert_eq!(job, again);
+    assert!(starts(&mut planner).is_empty());
+    planner.ended(&end(runs[0].1, How::Done), NOW_US + 2_000);
+    let effects = planner.drain();
+    assert!(effects.contains(&Effect::Answer { token: 8, answer: Answer::Completed }));
+}
+
+/// Guards against runs of jobs whose callers have gone elsewhere while the VM was suspended.
+#[test]
+fn a_suspension_gives_up_all_jobs() {
+    let (mut planner, _) = planner(1);
+    planner.wake(NOW_US);
+    planner.submit(submission("a", 1), NOW_US);
+    planner.submit(submission("b", 4), NOW_US);
+    starts(&mut planner);
+    assert!(!planner.wake(NOW_US + 90_000));
+    assert!(planner.wake(NOW_US + 2_000_000));
+    planner.tick(NOW_US + 2_100_000);
+    assert_eq!(planner.unanswered(), 0);
+    assert!(starts(&mut planner).is_empty());
+}
+
+/// Guards against a job that waits although no worker can take it.
+#[test]
+fn a_job_without_workers_is_refused_at_once() {
+    let mut planner = Planner::open(1);
+    planner.wake(NOW_US);
+    // Sidecars may still be connecting.
+    planner.submit(submission("a", 1), NOW_US);
+    assert_eq!(planner.unanswered(), 1);
+    planner.submit(submission("b", 1), NOW_US + 600_000);
+    let answers = answers(&mut planner);
+    assert!(matches!(answers[..], [Answer::NotRun { .. }]), "{answers:?}");
+}
+
+/// Guards against a job that waits to the end although it can no longer end in time.
+#[test]
+fn a_job_that_cannot_end_in_time_is_refused_before_its_deadline() {
+    let mut planner = Planner::open(1);
+    planner.wake(NOW_US);
+    planner.submit(submission("a", 1), NOW_US);
+    let mut now_us = NOW_US;
+    while planner.unanswered() > 0 {
+        now_us = planner.next_tick().max(now_us + 1);
+        planner.tick(now_us);
+    }
+    let answers = answers(&mut planner);
+    assert!(matches!(answers[..], [Answer::NotRun { .. }]), "{answers:?}");
+    assert!(now_us < NOW_US + 3 * 380_000);
+}
--- /dev/null
+++ b/crates/dispatch/tests/worker.rs
@@ -0,0 +1,339 @@
+//! Runs on one upstream VM: room, leases, unanswered orders and restarts.
+
+use std::sync::Arc;
+
+use kingcup_dispatch::worker::{
+    run, Effect, End, Entry, How, Look, Order, Profile, Reason, Reply, Start, Supervisor,
+    ENTRY_LEASE_US, STOP_US, UPSTREAM_LEASE_US,
+};
+use rstest::rstest;
+
+const CORES: u32 = 8_000;
+const TASK_CORES: u32 = 3_000;
+const CLOCK_MS: u64 = 70_000;
+
+fn profile(life: u64, ready: bool) -> Profile {
+    Profile {
+        life,
+        name: "upstream".into(),
+        service: "service".into(),
+        cores: CORES,
+        memory_mb: 1_000,
+        ready,
+        ..Profile::default()
+    }
+}
+
+fn start(run: u64, now_us: u64) -> Start {
+    Start {
+        run,
+        task: format!("task-{run}").into(),
+        attempt: 1,
+        spec: "".into(),
+        cores: TASK_CORES,
+        memory_mb: 64,
+        grant: now_us,
+        slack_us: run,
+        wait_us: 50_000,
+    }
+}
+
+/// A sidecar with one entry whose upstream is known and empty.
+fn open(now_us: u64) -> (Supervisor, Entry) {
+    let mut supervisor = Supervisor::open();
+    let (entry, _) = supervisor.greet("entry", 1, now_us);
+    supervisor.report(profile(1, true), 1, CLOCK_MS, now_us);
+    look(&mut supervisor, vec![], vec![], now_us);
+    assert!(supervisor.is_accepting());
+    (supervisor, entry)
+}
+
+/// Answers the look that is on its way; gives the orders and other effects.
+fn look(
+    supervisor: &mut Supervisor,
+    running: Vec<(Arc<str>, u32, u32)>,
+    ended: Vec<(u64, Arc<str>, u32, How)>,
+    now_us: u64,
+) -> Vec<Effect> {
+    let mut effects = supervisor.drain();
+    let number = effects.iter().rev().find_map(|effect| match effect {
+        Effect::Look { number, .. } => Some(*number),
+        _ => None,
+    });
+    let look = Look { life: 1, clock_ms: CLOCK_MS + now_us / 1000, running, ended };
+    supervisor.looked(number.expect("a look is on its way"), look, now_us);
+    let more = supervisor.drain();
+    // The next look is taken by the next call.
+    effects.clear();
+    for effect in more {
+        match effect {
+            Effect::Look { .. } => supervisor.put_back(effect),
+            other => effects.push(other),
+        }
+    }
+    effects
+}
+
+fn take_orders(supervisor: &mut Supervisor) -> Vec<(run::Key, Order)> {
+    let mut orders = Vec::new();
+    for effect in supervisor.drain() {
+        match effect {
+            Effect::Order { key, order } => orders.push((key, order)),
+            Effect::Look { .. } => supervisor.put_back(effect),
+            _ => {}
+        }
+    }
+    orders
+}
+
+fn refusals(effects: &[Effect]) -> Vec<(u64, Reason)> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Refused { run, reason, .. } => Some((*run, *reason)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn ends(effects: &[Effect]) -> Vec<(u64, How)> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            Effect::Ended { end: End { run, how, .. }, .. } => Some((*run, *how)),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Starts a run and answers its order.
+fn started(supervisor: &mut Supervisor, entry: Entry, run: u64, now_us: u64) -> (run::Key, Order) {
+    supervisor.start(entry, start(run, now_us), now_us);
+    supervisor.tick(now_us);
+    let (key, order) = take_orders(supervisor).remove(0);
+    supervisor.replied(key, &order, Reply::Done, None, now_us);
+    (key, order)
+}
+
+/// Guards against more cores in use than the upstream has.
+#[test]
+fn a_start_without_room_waits_and_is_refused_after_its_wait() {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open(now_us);
+    for run in 1..=3 {
+        supervisor.start(entry, start(run, now_us), now_us);
+    }
+    supervisor.tick(now_us);
+    assert_eq!(take_orders(&mut supervisor).len(), 2);
+    supervisor.renew(entry, now_us + 50_000);
+    supervisor.tick(now_us + 50_000);
+    assert_eq!(refusals(&supervisor.drain()), [(3, Reason::NoRoom)]);
+}
+
+/// Guards against room that is given away while a stopped run may still use it.
+#[test]
+fn a_stopped_run_takes_room_until_its_end_is_listed() {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open(now_us);
+    started(&mut supervisor, entry, 1, now_us);
+    started(&mut supervisor, entry, 2, now_us);
+    supervisor.stop(entry, 1, now_us);
+    let (key, stop) = take_orders(&mut supervisor).remove(0);
+    assert!(matches!(stop, Order::Stop { .. }));
+    supervisor.replied(key, &stop, Reply::Done, None, now_us);
+    supervisor.start(entry, start(3, now_us), now_us);
+    supervisor.tick(now_us);
+    assert!(take_orders(&mut supervisor).is_empty());
+    let ended = vec![(1, "task-1".into(), 1, How::Stopped)];
+    let effects = look(&mut supervisor, vec![("task-2".into(), 1, 5)], ended, now_us);
+    assert_eq!(ends(&effects), [(1, How::Stopped)]);
+    let orders = effects.iter().filter(|effect| matches!(effect, Effect::Order { .. })).count();
+    assert_eq!(orders, 1);
+}
+
+/// Guards against runs that outlive their entry.
+#[test]
+fn runs_stop_when_their_entry_does_not_renew() {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open(now_us);
+    started(&mut supervisor, entry, 1, now_us);
+    supervisor.tick(now_us + ENTRY_LEASE_US - 1);
+    assert!(take_orders(&mut supervisor).is_empty());
+    supervisor.tick(now_us + ENTRY_LEASE_US);
+    let orders = take_orders(&mut supervisor);
+    assert!(matches!(orders[..], [(_, Order::Stop { .. })]));
+}
+
+/// Guards against starts that were held up on the way, or sent by an entry that stood still.
+#[test]
+fn a_start_under_an_old_grant_is_refused() {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open(now_us);
+    supervisor.drain();
+    let late_us = now_us + ENTRY_LEASE_US;
+    supervisor.start(entry, start(1, now_us), late_us);
+    supervisor.tick(late_us);
+    assert_eq!(refusals(&supervisor.drain()), [(1, Reason::StaleGrant)]);
+}
+
+/// Guards against a second run where the first start was carried out and its answer was lost.
+#[test]
+fn an_unanswered_start_is_repeated_under_the_same_number() {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open(now_us);
+    supervisor.start(entry, start(1, now_us), now_us);
+    supervisor.tick(now_us);
+    let (key, first) = take_orders(&mut supervisor).remove(0);
+    supervisor.replied(key, &first, Reply::Unanswered, None, now_us + 60_000);
+    let (key, second) = take_orders(&mut supervisor).remove(0);
+    let attempts = [&first, &second].map(|order| match order {
+        Order::Start { attempt, .. } | Order::Stop { attempt, .. } => *attempt,
+    });
+    assert_eq!(attempts, [1, 1]);
+    // The first one ran to its end meanwhile: nothing starts again.
+    supervisor.replied(key, &second, Reply::Old, None, now_us + 61_000);
+    assert!(take_orders(&mut supervisor).is_empty());
+    let ended = vec![(1, "task-1".into(), 1, How::Done)];
+    let effects = look(&mut supervisor, vec![], ended, now_us + 62_000);
+    assert_eq!(ends(&effects), [(1, How::Done)]);
+}
+
+/// Guards against a task that cannot run because an earlier submission of it ended here.
+#[test]
+fn a_start_that_is_too_old_takes_the_next_number() {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open(now_us);
+    supervisor.start(entry, start(1, now_us), now_us);
+    supervisor.tick(now_us);
+    let (key, order) = take_orders(&mut supervisor).remove(0);
+    supervisor.replied(key, &order, Reply::Old, None, now_us);
+    let orders = take_orders(&mut supervisor);
+    assert!(matches!(orders[..], [(_, Order::Start { attempt: 2, .. })]));
+}
+
+/// Guards against a stop that is lost and a run that goes on.
+#[test]
+fn an_unanswered_stop_is_repeated_until_the_end_is_listed() {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open(now_us);
+    started(&mut supervisor, entry, 1, now_us);
+    supervisor.stop(entry, 1, now_us);
+    for step in 1..=3 {
+        let (key, stop) = take_orders(&mut supervisor).remove(0);
+        let at_us = now_us + step * 60_000;
+        supervisor.replied(key, &stop, Reply::Unanswered, None, at_us);
+        supervisor.tick(at_us);
+    }
+    assert_eq!(supervisor.running(), 1);
+    let ended = vec![(1, "task-1".into(), 1, How::Stopped)];
+    look(&mut supervisor, vec![], ended, now_us + 200_000);
+    assert_eq!(supervisor.running(), 0);
+}
+
+/// Guards against starts beside runs of an earlier process, whose room is not known.
+#[test]
+fn a_new_sidecar_stops_what_it_did_not_start_before_it_accepts() {
+    let now_us = 1_000_000;
+    let mut supervisor = Supervisor::open();
+    supervisor.greet("entry", 1, now_us);
+    supervisor.report(profile(1, true), 1, CLOCK_MS, now_us);
+    let stranger = vec![("other".into(), 4, 50)];
+    let effects = look(&mut supervisor, stranger, vec![], now_us);
+    assert!(effects.iter().any(|effect| matches!(
+        effect,
+        Effect::Order { order: Order::Stop { attempt: 4, .. }, .. }
+    )));
+    assert!(!supervisor.is_accepting());
+    supervisor.tick(now_us + 20_000);
+    look(&mut supervisor, vec![], vec![(1, "other".into(), 4, How::Stopped)], now_us + 20_000);
+    assert!(supervisor.is_accepting());
+}
+
+/// Guards against new work on an upstream that drains, leaves, is silent or has another owner.
+#[rstest]
+#[case::drains(|s: &mut Supervisor, now_us| { s.report(profile(1, false), 2, CLOCK_MS, now_us); })]
+#[case::leaves(|s: &mut Supervisor, now_us| s.leave(now_us))]
+#[case::sidecar_stops(|s: &mut Supervisor, now_us| s.close(now_us))]
+#[case::down(|s: &mut Supervisor, now_us| s.look_failed(2, Reply::Down, None, now_us))]
+fn nothing_starts_on_an_upstream_that_goes(#[case] event: fn(&mut Supervisor, u64)) {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open(now_us);
+    supervisor.drain();
+    event(&mut supervisor, now_us);
+    supervisor.start(entry, start(1, now_us), now_us);
+    supervisor.tick(now_us);
+    let effects = supervisor.drain();
+    assert_eq!(refusals(&effects), [(1, Reason::NotAccepting)]);
+}
+
+/// Guards against runs that are held for running after a crash, or given up before they have ended.
+#[test]
+fn runs_on_a_silent_upstream_are_lost_when_its_lease_has_run_out() {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open(now_us);
+    started(&mut supervisor, entry, 1, now_us);
+    let mut at_us = now_us;
+    let gone_us = now_us + UPSTREAM_LEASE_US + UPSTREAM_LEASE_US / 50 + STOP_US;
+    let mut lost_us = None;
+    while at_us < gone_us + 1_000_000 && lost_us.is_none() {
+        at_us += 50_000;
+        supervisor.renew(entry, at_us);
+        supervisor.tick(at_us);
+        for effect in supervisor.drain() {
+            match effect {
+                Effect::Look { number, .. } => {
+                    supervisor.look_failed(number, Reply::Unanswered, None, at_us);
+                }
+                Effect::Ended { end, .. } => {
+                    assert_eq!(end.how, How::Lost);
+                    lost_us = Some(at_us);
+                }
+                _ => {}
+            }
+        }
+    }
+    // Each look renews the lease, also one that is not answered.
+    assert!(lost_us.is_none_or(|lost_us| lost_us >= gone_us));
+}
+
+/// Guards against reports that arrive late, also those of an earlier life.
+#[test]
+fn an_older_report_changes_nothing() {
+    let now_us = 1_000_000;
+    let (mut supervisor, _) = open(now_us);
+    assert!(supervisor.report(profile(1, false), 5, CLOCK_MS, now_us));
+    assert!(!supervisor.report(profile(1, true), 4, CLOCK_MS, now_us));
+    assert!(!supervisor.is_accepting());
+    assert!(supervisor.report(profile(2, true), 1, 100, now_us));
+    assert!(!supervisor.report(profile(1, true), 9, CLOCK_MS, now_us));
+}
+
+/// Guards against runs that are taken for running in a new life of the upstream.
+#[test]
+fn a_new_life_ends_all_runs() {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open(now_us);
+    started(&mut supervisor, entry, 1, now_us);
+    supervisor.report(profile(2, true), 1, 100, now_us);
+    assert_eq!(ends(&supervisor.drain()), [(1, How::Lost)]);
+}
+
+/// Guards against ends that are lost with a connection, and runs that go on for an entry that was
+/// restarted.
+#[test]
+fn an_entry_that_connects_again_hears_what_it_missed() {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open(now_us);
+    started(&mut supervisor, entry, 1, now_us);
+    started(&mut supervisor, entry, 2, now_us);
+    supervisor.disconnected(entry);
+    let ended = vec![(1, "task-1".into(), 1, How::Done)];
+    look(&mut supervisor, vec![("task-2".into(), 1, 5)], ended, now_us + 1_000);
+    let (again, held) = supervisor.greet("entry", 1, now_us + 2_000);
+    assert_eq!(again, entry);
+    assert_eq!(held, [2]);
+    assert_eq!(ends(&supervisor.drain()), [(1, How::Done)]);
+    supervisor.greet("entry", 2, now_us + 3_000);
+    let orders = take_orders(&mut supervisor);
+    assert!(matches!(orders[..], [(_, Order::Stop { .. })]));
+}
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -2,10 +2,7 @@
 
 use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
-use kingcup_dispatch::{
-    plan::{Effect, Job, Planner, Worker, SIDECAR_WAIT_US},
-    worker::ENTRY_LEASE_US,
-};
+use kingcup_dispatch::plan::{Effect, Job, Planner, Worker, MAX_SLEEP_US, SIDECAR_WAIT_US};
 use kingcup_wire::{
     run::{self, Message},
     Frame, Key, Role,
@@ -29,8 +26,6 @@
     web::{client, message::Limits, server, Client, Fault, Response, Server},
 };
 
-/// Longest sleep, in microseconds.
-const MAX_SLEEP_US: u64 = 100_000;
 /// A sidecar that is silent for this time is given up, in microseconds. It sends ten grants a second.
 const SILENT_US: u64 = 800_000;
 /// An entry that is silent for this time is given up, in microseconds.
@@ -98,7 +93,6 @@
     by_worker: HashMap<Worker, Id>,
     incarnation: u64,
     timer: MinTimerKey,
-    woke_us: u64,
     thawed_us: u64,
     peers_due_us: u64,
     announce_due_us: Option<u64>,
@@ -165,7 +159,6 @@
             by_worker: HashMap::new(),
             incarnation,
             timer: MinTimerKey::default(),
-            woke_us: now_us,
             thawed_us: 0,
             peers_due_us: now_us,
             announce_due_us: None,
@@ -176,17 +169,14 @@
         })
     }
 
-    /// Present time at the start of an event. After a suspension longer than the leases of this entry
-    /// all its runs are being stopped, and callers may have submitted their jobs elsewhere.
+    /// Present time at the start of an event. Jobs that a suspension made void are given up.
     pub(super) fn wake(&mut self) -> u64 {
         let now_us = super::now_us();
-        let slept_us = now_us.saturating_sub(self.woke_us);
-        if slept_us > ENTRY_LEASE_US + MAX_SLEEP_US {
-            log::warn!("event=suspended slept_us={slept_us} jobs={}", self.planner.unanswered());
+        let jobs = self.planner.unanswered();
+        if self.planner.wake(now_us) {
+            log::warn!("event=suspended jobs={jobs}");
             self.thawed_us = now_us;
-            self.planner.give_up_all(now_us);
         }
-        self.woke_us = now_us;
         now_us
     }
 
