Try once to place a job that is too dear before it is refused

A job over its price gets room if any is free and nothing else waits here, for 8% of its allowance (5 ms).

--- a/crates/dispatch/src/plan/job.rs
+++ b/crates/dispatch/src/plan/job.rs
@@ -20,6 +20,9 @@
 const ENDING_US: u64 = 30_000;
 /// Slack between two classes in a sidecar's queue, in microseconds; over the longest wait there.
 const CLASS_SLACK_US: u64 = 100_000;
+/// Part of its allowance for which a job waits that is too dear, in percent. The platform counts a refusal
+/// as late from a quarter of it, with the way to the caller and back.
+const SURPLUS_PERCENT: u64 = 8;
 /// Position of the class in a rank; times stay below it.
 const CLASS_SHIFT: u32 = 60;
 
@@ -87,6 +90,8 @@
     pub ending_us: Option<u64>,
     /// It can no longer meet its objective.
     pub overdue: bool,
+    /// It gets room only when nothing else waits here, until this time.
+    pub surplus_us: Option<u64>,
     /// Expected run time of a task, in microseconds.
     pub work_us: u64,
     /// Time at which it has met its objective.
@@ -113,7 +118,8 @@
     /// Order in the queue, less first: what has begun, what is most urgent, then by arrival. What can no
     /// longer meet its objective comes last.
     pub fn rank(&self) -> u64 {
-        let class = match (self.overdue, self.is_untouched(), self.submission.priority) {
+        let last = self.overdue || self.surplus_us.is_some();
+        let class = match (last, self.is_untouched(), self.submission.priority) {
             (true, _, _) => 3,
             (_, false, _) => 0,
             (_, _, 0) => 1,
@@ -143,6 +149,7 @@
         match (self.ending_us, self.is_untouched()) {
             (Some(ending_us), _) => ending_us,
             (None, false) => end,
+            (None, true) if self.surplus_us.is_some() => self.surplus_us.unwrap_or(end).min(end),
             (None, true) if self.overdue => end.saturating_sub(self.work_us),
             (None, true) => end.min(self.latest_us()),
         }
@@ -178,6 +185,7 @@
             ran: false,
             ending_us: None,
             overdue: repeated,
+            surplus_us: None,
             work_us,
             objective_us: now_us + if repeated { 0 } else { target_us },
             late_us: now_us
@@ -190,8 +198,8 @@
         let key = self.jobs.insert(record);
         self.by_name.insert(id, key);
         if !repeated && self.is_unaffordable(key, now_us) {
-            self.answer(key, Answer::NotRun { retry_ms: self.retry_ms() }, now_us);
-            return key;
+            let wait_us = self.jobs[key].submission.allowance_us * SURPLUS_PERCENT / 100;
+            self.jobs[key].surplus_us = Some(now_us + wait_us);
         }
         self.enqueue(key);
         self.dispatch(now_us);
@@ -241,7 +249,8 @@
         let Some(job) = self.jobs.get(key) else { return };
         let end = job.late_us.min(job.timeout_us);
         let in_reach = now_us + job.work_us < end;
-        if job.ending_us.is_none() && job.is_untouched() && !job.overdue && in_reach {
+        let waits = job.ending_us.is_none() && job.is_untouched();
+        if waits && !job.overdue && job.surplus_us.is_none() && in_reach {
             self.overdue(key, now_us);
         } else {
             self.give_up(key, now_us);
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -195,6 +195,11 @@
         Some(Profile { ready: self.is_accepting(), ..profile })
     }
 
+    /// Cores that runs take, in thousandths.
+    pub fn used_cores(&self) -> u64 {
+        self.runs.values().filter(|run| run.takes_room()).map(|run| u64::from(run.cores)).sum()
+    }
+
     /// Number of runs that take room.
     pub fn running(&self) -> usize {
         self.runs.values().filter(|run| run.takes_room()).count()
