Stop runs again whose stop was lost with a connection

On connecting again an entry now stops what its sidecar holds and no job wants. An entry refuses at once when no worker is connected.

--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -138,6 +138,11 @@
         self.entries = entries.max(1) as u64;
     }
 
+    /// Number of workers that take work.
+    pub fn accepting(&self) -> usize {
+        self.workers.values().filter(|member| member.connected && member.profile.ready).count()
+    }
+
     /// Number of jobs that have no answer yet.
     pub fn unanswered(&self) -> usize {
         self.jobs.len()
--- a/crates/dispatch/src/plan/admission.rs
+++ b/crates/dispatch/src/plan/admission.rs
@@ -26,6 +26,17 @@
 /// Part of a job's worth that does not depend on its size; from the platform's rules on credit.
 const FIXED_WORTH: f64 = 0.3;
 
+/// What becomes of a job on arrival.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Verdict {
+    /// It is taken.
+    Take,
+    /// It gets room only if some is to spare.
+    Dear,
+    /// No worker can take it.
+    Hopeless,
+}
+
 /// Load of one kind of work.
 #[derive(Debug, Default)]
 pub(super) struct Kind {
@@ -81,20 +92,22 @@
         false
     }
 
-    /// True if the job is to be refused on arrival.
-    pub(super) fn is_unaffordable(&mut self, key: Job, now_us: u64) -> bool {
+    /// Decides on a job that arrives.
+    pub(super) fn admit(&mut self, key: Job, now_us: u64) -> Verdict {
         let job = &self.jobs[key];
         let work = job.work();
         let slack_us = job.latest_us().saturating_sub(now_us);
         let service = job.submission.service.clone();
         let name = (service.clone(), job.submission.queue.clone());
         self.kinds.entry(name.clone()).or_default().learn(work, slack_us, now_us);
-        let Some(wait_us) = self.wait_us(key, now_us) else { return now_us >= self.settled_us };
-        if wait_us <= FREE_WAIT_US || now_us < self.settled_us {
-            return false;
-        }
-        if wait_us > slack_us {
-            return true;
+        let settled = now_us >= self.settled_us;
+        let wait_us = match self.wait_us(key, now_us) {
+            Some(wait_us) => wait_us,
+            None if settled => return Verdict::Hopeless,
+            None => return Verdict::Take,
+        };
+        if wait_us <= FREE_WAIT_US || !settled {
+            return Verdict::Take;
         }
         let kinds = || self.kinds.iter().filter(|((other, _), _)| *other == service);
         let dearest = kinds()
@@ -103,7 +116,10 @@
         let shortest_us = kinds().map(|(_, kind)| kind.mean_slack_us).fold(f64::INFINITY, f64::min);
         let density = self.kinds[&name].density(work, now_us);
         let price_us = SLACK_SHARE * shortest_us * (density / dearest).min(1.0);
-        wait_us as f64 > price_us
+        if wait_us > slack_us || wait_us as f64 > price_us {
+            return Verdict::Dear;
+        }
+        Verdict::Take
     }
 
     /// Time that a job would wait for the work ahead of it at all entries; `None` while no worker is
--- a/crates/dispatch/src/plan/job.rs
+++ b/crates/dispatch/src/plan/job.rs
@@ -6,6 +6,7 @@
 
 use super::{
     action::{Answer, Effect},
+    admission::Verdict,
     Planner, Worker, LATE_FACTOR, RETRY_MS,
 };
 use crate::worker::{End, How};
@@ -197,9 +198,17 @@
         let id = record.submission.id.clone();
         let key = self.jobs.insert(record);
         self.by_name.insert(id, key);
-        if !repeated && self.is_unaffordable(key, now_us) {
-            let wait_us = self.jobs[key].submission.allowance_us * SURPLUS_PERCENT / 100;
-            self.jobs[key].surplus_us = Some(now_us + wait_us);
+        let verdict = if repeated { Verdict::Take } else { self.admit(key, now_us) };
+        match verdict {
+            Verdict::Take => {}
+            Verdict::Dear => {
+                let wait_us = self.jobs[key].submission.allowance_us * SURPLUS_PERCENT / 100;
+                self.jobs[key].surplus_us = Some(now_us + wait_us);
+            }
+            Verdict::Hopeless => {
+                self.give_up(key, now_us);
+                return key;
+            }
         }
         self.enqueue(key);
         self.dispatch(now_us);
--- a/crates/dispatch/src/plan/worker.rs
+++ b/crates/dispatch/src/plan/worker.rs
@@ -4,7 +4,7 @@
 
 use slotmap::new_key_type;
 
-use super::{Job, Planner, GONE_US, SETTLE_US};
+use super::{Effect, Job, Planner, GONE_US, SETTLE_US};
 use crate::worker::Profile;
 
 /// Slowness from which a worker gets only what it can still end in time, and its runs are moved.
@@ -183,9 +183,20 @@
         member.gone_us = None;
         member.unseen.clear();
         self.lose_runs(key, |run| !held.contains(&run), now_us);
+        // Stops that were sent to a sidecar that could not be reached are lost.
+        let unwanted = held.iter().copied().filter(|run| !self.is_wanted(*run));
+        let stops: Vec<Effect> = unwanted.map(|run| Effect::Stop { worker: key, run }).collect();
+        self.effects.extend(stops);
         key
     }
 
+    /// True if a run belongs to a job that still needs it.
+    fn is_wanted(&self, run: u64) -> bool {
+        let sent = self.runs.get(&run).filter(|sent| !sent.moving);
+        let job = sent.and_then(|sent| self.jobs.get(sent.place.job));
+        job.is_some_and(|job| job.ending_us.is_none())
+    }
+
     /// The connection to a sidecar is lost. What runs there may go on until its leases end.
     pub fn left(&mut self, worker: Worker, renewed_us: u64) {
         if let Some(member) = self.workers.get_mut(worker) {
--- a/crates/dispatch/tests/plan.rs
+++ b/crates/dispatch/tests/plan.rs
@@ -149,6 +149,20 @@
     assert_eq!(starts(&mut planner).len(), 1);
 }
 
+/// Guards against runs that go on although their caller left while their sidecar could not be reached.
+#[test]
+fn a_run_whose_job_is_gone_is_stopped_when_its_sidecar_returns() {
+    let (mut planner, _) = planner(1);
+    let job = planner.submit(submission("a", 1), NOW_US);
+    let runs = starts(&mut planner);
+    planner.left(runs[0].0, NOW_US);
+    planner.cancel(job, NOW_US);
+    planner.drain();
+    planner.joined("sidecar-0", 1, &[runs[0].1], NOW_US + 100_000);
+    let stop = Effect::Stop { worker: runs[0].0, run: runs[0].1 };
+    assert!(planner.drain().contains(&stop));
+}
+
 /// Guards against a retry at the worker that has just failed the task.
 #[test]
 fn a_failed_task_goes_to_another_worker_and_fails_its_job_in_the_end() {
--- a/crates/node/src/runs/callers.rs
+++ b/crates/node/src/runs/callers.rs
@@ -168,8 +168,10 @@
         let mut event = self.metrics.read(id, now_us);
         while let Some(Event::Request(_)) = event {
             let text = format!(
-                "kingcup_jobs {}\nkingcup_connections {}\nkingcup_config_version {}\n",
+                "kingcup_jobs {}\nkingcup_workers {}\nkingcup_connections {}\n\
+                 kingcup_config_version {}\n",
                 self.planner.unanswered(),
+                self.planner.accepting(),
                 self.callers.len(),
                 self.document.version()
             );
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -154,7 +154,7 @@
             client: Client::open(STORE_LIMITS),
             links: Table::open(Key::derive(&settings.process.secret)),
             listener,
-            mesh: Mesh::open(settings.process.internal, &settings.process.entries, now_us),
+            mesh: Mesh::open(settings.process.address(), &settings.process.entries, now_us),
             peers: HashMap::new(),
             by_worker: HashMap::new(),
             incarnation,
@@ -312,7 +312,7 @@
         let greeting = run::Greeting {
             role: Role::Entry,
             name: &self.settings.process.name,
-            address: self.settings.process.internal,
+            address: self.settings.process.address(),
             incarnation: self.incarnation,
             config: self.document.version(),
         };
@@ -321,7 +321,7 @@
 
     fn send_peers(&mut self) {
         let mut known: Vec<SocketAddr> = self.mesh.reached().collect();
-        known.push(self.settings.process.internal);
+        known.push(self.settings.process.address());
         let frame = Frame::Run(Message::Peers(known));
         for (link, peer) in &self.peers {
             if !matches!(peer, Peer::Unknown) {
--- a/crates/node/src/runs/settings.rs
+++ b/crates/node/src/runs/settings.rs
@@ -23,6 +23,9 @@
     pub secret: String,
     /// Internal address. All entries use this port.
     pub internal: SocketAddr,
+    /// Address at which other processes reach an entry, if something stands before the internal address,
+    /// such as an address translation or a fault-injecting proxy.
+    pub advertise: Option<SocketAddr>,
     /// Address for metrics.
     pub metrics: SocketAddr,
     /// Internal addresses of entries to try first; others are learned.
@@ -72,6 +75,7 @@
             zone: source.name("process", "zone")?,
             secret,
             internal,
+            advertise: source.optional_address("listen", "advertise")?,
             metrics: source.address("listen", "metrics")?,
             entries: read_entries(source, internal.port())?,
         })
@@ -79,6 +83,11 @@
 }
 
 impl Process {
+    /// Address at which other processes reach this one.
+    pub fn address(&self) -> SocketAddr {
+        self.advertise.unwrap_or(self.internal)
+    }
+
     /// Reads the internal addresses of entries from the settings file again.
     ///
     /// # Errors
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -102,7 +102,7 @@
             control,
             metrics,
             links: Table::open(Key::derive(&settings.process.secret)),
-            mesh: Mesh::open(settings.process.internal, &settings.process.entries, now_us),
+            mesh: Mesh::open(settings.process.address(), &settings.process.entries, now_us),
             peers: HashMap::new(),
             incarnation,
             config: (0, Vec::new()),
@@ -137,7 +137,7 @@
         let greeting = run::Greeting {
             role: Role::Sidecar,
             name: &self.settings.process.name,
-            address: self.settings.process.internal,
+            address: self.settings.process.address(),
             incarnation: self.incarnation,
             config: self.config.0,
         };
