--- a/crates/bench/src/runs/world.rs
+++ b/crates/bench/src/runs/world.rs
@@ -554,7 +554,9 @@
             worker::Effect::Grant { entry, grant } => {
                 self.tell(sidecar, entry, ToEntry::Grant(grant));
             }
-            worker::Effect::Ended { entry, end } => self.tell(sidecar, entry, ToEntry::Ended(end)),
+            worker::Effect::Ended { entry, end, .. } => {
+                self.tell(sidecar, entry, ToEntry::Ended(end))
+            }
             worker::Effect::Refused { entry, run, .. } => {
                 self.tell(sidecar, entry, ToEntry::Refused(run));
             }
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -295,7 +295,7 @@
     /// Brings all that follows from a change up to date.
     fn settle(&mut self, now_us: u64) {
         if !self.is_accepting() {
-            self.refuse_waiting(now_us);
+            self.refuse_waiting();
         }
         if self.announced != self.is_accepting() {
             self.announced = self.is_accepting();
--- a/crates/dispatch/src/worker/action.rs
+++ b/crates/dispatch/src/worker/action.rs
@@ -39,6 +39,8 @@
     Ended {
         /// Receiver.
         entry: Entry,
+        /// Name of the task at the upstream.
+        task: Arc<str>,
         /// The end.
         end: run::End,
     },
@@ -53,6 +55,8 @@
     Refused {
         /// Receiver.
         entry: Entry,
+        /// Name of the task at the upstream.
+        task: Arc<str>,
         /// Number of the run.
         run: u64,
         /// Why.
--- a/crates/dispatch/src/worker/entry.rs
+++ b/crates/dispatch/src/worker/entry.rs
@@ -1,12 +1,12 @@
 //! Entries that have work at this sidecar, their leases and what they are told.
 
-use std::collections::VecDeque;
+use std::{collections::VecDeque, sync::Arc};
 
 use slotmap::new_key_type;
 
 use super::{
     action::{Effect, Grant},
-    run::{self, End, Progress},
+    run::{self, End, Progress, Run},
     Reason, Supervisor, ENTRY_LEASE_US, GRANT_INTERVAL_US, LOAD_INTERVAL_US,
 };
 
@@ -34,7 +34,7 @@
     progress_us: u64,
     /// A grant is due at once.
     pressing: bool,
-    ends: VecDeque<(u64, End)>,
+    ends: VecDeque<(u64, Arc<str>, End)>,
 }
 
 impl Peer {
@@ -44,7 +44,7 @@
 
     /// Drops old ends; false if the entry can be forgotten.
     pub(super) fn keep(&mut self, now_us: u64) -> bool {
-        while self.ends.front().is_some_and(|(at, _)| at + KEEP_ENDS_US < now_us) {
+        while self.ends.front().is_some_and(|(at, _, _)| at + KEEP_ENDS_US < now_us) {
             self.ends.pop_front();
         }
         self.connected || now_us < self.lease_end_us + KEEP_ENDS_US
@@ -83,7 +83,11 @@
         let peer = &mut self.entries[key];
         peer.connected = true;
         peer.pressing = true;
-        let repeated = peer.ends.iter().map(|(_, end)| Effect::Ended { entry: key, end: *end });
+        let repeated = peer.ends.iter().map(|(_, task, end)| Effect::Ended {
+            entry: key,
+            task: task.clone(),
+            end: *end,
+        });
         self.effects.extend(repeated);
         let held = self.runs.values().filter(|run| run.entry == key).map(|run| run.number);
         (key, held.collect())
@@ -183,16 +187,17 @@
         self.load_changed = true;
         let end = End { run: run.number, how, ran_us: now_us.saturating_sub(run.started_us) };
         let Some(peer) = self.entries.get_mut(run.entry) else { return };
-        peer.ends.push_back((now_us, end));
+        peer.ends.push_back((now_us, run.task.clone(), end));
         peer.pressing = true;
-        self.effects.push(Effect::Ended { entry: run.entry, end });
+        self.effects.push(Effect::Ended { entry: run.entry, task: run.task, end });
     }
 
     /// Removes a run that never began.
     pub(super) fn refuse(&mut self, key: run::Key, reason: Reason) {
         let Some(run) = self.runs.remove(key) else { return };
         self.load_changed = true;
-        self.effects.push(Effect::Refused { entry: run.entry, run: run.number, reason });
+        let Run { entry, task, number, .. } = run;
+        self.effects.push(Effect::Refused { entry, task, run: number, reason });
     }
 
     /// Stops all runs of an incarnation that has ended.
--- a/crates/dispatch/src/worker/order.rs
+++ b/crates/dispatch/src/worker/order.rs
@@ -23,7 +23,8 @@
             None
         };
         if let Some(reason) = refused {
-            self.effects.push(Effect::Refused { entry, run: start.run, reason });
+            let Start { run, task, .. } = start;
+            self.effects.push(Effect::Refused { entry, task, run, reason });
             return;
         }
         self.load_changed = true;
@@ -203,7 +204,7 @@
         }
     }
 
-    pub(super) fn refuse_waiting(&mut self, _now_us: u64) {
+    pub(super) fn refuse_waiting(&mut self) {
         let waiting: Vec<run::Key> =
             self.runs.iter().filter(|(_, run)| !run.takes_room()).map(|(key, _)| key).collect();
         for key in waiting {
--- a/crates/node/src/logs.rs
+++ b/crates/node/src/logs.rs
@@ -1,4 +1,4 @@
-//! Log set-up: one key=value line for each event, to standard error.
+//! Log set-up: one key=value line for each event, to standard output.
 //!
 //! Lines are collected and written by a thread of their own, so that the event loop makes no system
 //! call for a line. A process that is killed loses the lines of the last `WRITE_INTERVAL`.
@@ -73,7 +73,7 @@
         let dropped = mem::take(&mut pending.dropped);
         pending.writing = true;
         drop(pending);
-        let mut out = io::stderr().lock();
+        let mut out = io::stdout().lock();
         // Nobody is left to tell of an error.
         let _ = out.write_all(spare);
         if dropped > 0 {
--- a/crates/node/src/runs.rs
+++ b/crates/node/src/runs.rs
@@ -6,6 +6,7 @@
 pub mod document;
 pub mod entry;
 pub mod mesh;
+pub mod metrics;
 pub mod settings;
 pub mod sidecar;
 mod translate;
--- a/crates/node/src/runs/callers.rs
+++ b/crates/node/src/runs/callers.rs
@@ -99,6 +99,8 @@
         submission.token = id.data().as_ffi();
         let detail = Detail {
             id: submission.id.clone(),
+            queue: submission.queue.clone(),
+            starts: 0,
             spec: Arc::from(spec),
             cores: submission.cores,
             memory_mb: submission.memory_mb,
@@ -113,11 +115,16 @@
     pub(super) fn answer(&mut self, token: u64, answer: Answer, now_us: u64) {
         let id = server::Id::from(KeyData::from_ffi(token));
         if let Some(detail) = self.waiting.remove(&id).and_then(|job| self.details.get(job)) {
+            let took_us = now_us - detail.arrived_us;
             log::info!(
-                "event=job_answered job={} answer={answer:?} took_us={}",
+                "event=job_answered job={} queue={} answer={answer:?} took_us={took_us} \
+                 starts={} config={}",
                 detail.id,
-                now_us - detail.arrived_us
+                detail.queue,
+                detail.starts,
+                self.document.version()
             );
+            self.meter.answered(answer, took_us);
         }
         self.tell(id, Told::Answer(answer));
         let event = self.callers.next(id);
@@ -167,14 +174,7 @@
         let now_us = self.wake();
         let mut event = self.metrics.read(id, now_us);
         while let Some(Event::Request(_)) = event {
-            let text = format!(
-                "kingcup_jobs {}\nkingcup_workers {}\nkingcup_connections {}\n\
-                 kingcup_config_version {}\n",
-                self.planner.unanswered(),
-                self.planner.accepting(),
-                self.callers.len(),
-                self.document.version()
-            );
+            let text = self.meter.text(&self.planner, self.callers.len(), self.document.version());
             self.metrics.respond(id, &Response::of(200, "text/plain", text));
             event = self.metrics.next(id);
         }
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -18,7 +18,7 @@
     border,
     document::{Call, Document, CALL_MS, WATCH_MS},
     mesh::Mesh,
-    settings, translate,
+    metrics, settings, translate,
 };
 use crate::{
     link::{self, Id, Input, Table},
@@ -56,6 +56,9 @@
 #[derive(Debug)]
 pub(super) struct Detail {
     pub id: Arc<str>,
+    pub queue: Arc<str>,
+    /// Starts that were sent so far.
+    pub starts: usize,
     pub spec: Arc<str>,
     pub cores: u32,
     pub memory_mb: u32,
@@ -83,6 +86,7 @@
     pub(super) balancer: Server,
     pub(super) control: Server,
     pub(super) metrics: Server,
+    pub(super) meter: metrics::Entry,
     pub(super) details: SecondaryMap<Job, Detail>,
     pub(super) waiting: HashMap<server::Id, Job>,
     client: Client<()>,
@@ -130,7 +134,7 @@
         let fwd = fwd_to!([cx], accept_control() as (Ready));
         let control = Server::bind(cx, settings.control, LIMITS, OTHERS, fwd)?;
         let fwd = fwd_to!([cx], accept_metrics() as (Ready));
-        let metrics = Server::bind(cx, settings.process.metrics, LIMITS, OTHERS, fwd)?;
+        let page = Server::bind(cx, settings.process.metrics, LIMITS, OTHERS, fwd)?;
         let fwd = fwd_to!([cx], accept_link() as (Ready));
         let listener = link::listen(cx, settings.process.internal, fwd)?;
         let signal = fwd_to!([cx], signal() as (i32));
@@ -148,7 +152,8 @@
             callers,
             balancer,
             control,
-            metrics,
+            metrics: page,
+            meter: metrics::Entry::open()?,
             details: SecondaryMap::new(),
             waiting: HashMap::new(),
             client: Client::open(STORE_LIMITS),
--- /dev/null
+++ b/crates/node/src/runs/metrics.rs
@@ -0,0 +1,150 @@
+//! Metrics of the entry and the sidecar for runs.
+
+use std::io;
+
+use kingcup_dispatch::{
+    plan::{Answer, Planner},
+    worker::{How, Reason, Reply, Supervisor},
+};
+use opentelemetry::{
+    metrics::{Counter, Gauge, Histogram},
+    KeyValue,
+};
+
+use crate::metrics::Exporter;
+
+/// Bounds of the histograms of latencies, in milliseconds: from an urgent task to the longest job.
+const BOUNDS_MS: [f64; 12] =
+    [5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_500.0, 3_000.0, 6_000.0, 12_000.0];
+
+/// Metrics of an entry.
+pub struct Entry {
+    exporter: Exporter,
+    jobs: Counter<u64>,
+    job_ms: Histogram<f64>,
+    starts: Counter<u64>,
+    unanswered: Gauge<u64>,
+    workers: Gauge<u64>,
+    connections: Gauge<u64>,
+    version: Gauge<u64>,
+}
+
+/// Metrics of a sidecar.
+pub struct Sidecar {
+    exporter: Exporter,
+    ends: Counter<u64>,
+    run_ms: Histogram<f64>,
+    refusals: Counter<u64>,
+    orders: Counter<u64>,
+    running: Gauge<u64>,
+    waiting: Gauge<u64>,
+    entries: Gauge<u64>,
+}
+
+impl Entry {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// The error of the exporter.
+    pub fn open() -> io::Result<Self> {
+        let exporter = Exporter::open()?;
+        let meter = exporter.meter();
+        let counter = |name, about| meter.u64_counter(name).with_description(about).build();
+        let gauge = |name, about| meter.u64_gauge(name).with_description(about).build();
+        let job_ms = meter
+            .f64_histogram("kingcup_job_ms")
+            .with_description("Time from a job's arrival to its answer, in milliseconds, by answer")
+            .with_boundaries(BOUNDS_MS.to_vec());
+        Ok(Self {
+            jobs: counter("kingcup_jobs", "Jobs that were answered, by answer"),
+            job_ms: job_ms.build(),
+            starts: counter("kingcup_starts_sent", "Starts that were sent to sidecars"),
+            unanswered: gauge("kingcup_jobs_unanswered", "Jobs without an answer"),
+            workers: gauge("kingcup_workers", "Workers that take work"),
+            connections: gauge("kingcup_connections", "Connections of callers"),
+            version: gauge("kingcup_config_version", "Version of the configuration in force"),
+            exporter,
+        })
+    }
+
+    /// Counts an answer.
+    pub fn answered(&self, answer: Answer, took_us: u64) {
+        let name = match answer {
+            Answer::Completed => "completed",
+            Answer::Failed => "failed",
+            Answer::NotRun { .. } => "not_run",
+            Answer::GaveUp => "gave_up",
+        };
+        let labels = [KeyValue::new("answer", name)];
+        self.jobs.add(1, &labels);
+        self.job_ms.record(took_us as f64 / 1000.0, &labels);
+    }
+
+    /// Counts starts.
+    pub fn started(&self, tasks: usize) {
+        self.starts.add(tasks as u64, &[]);
+    }
+
+    /// Text for a scrape.
+    pub fn text(&self, planner: &Planner, connections: usize, version: u64) -> Vec<u8> {
+        self.unanswered.record(planner.unanswered() as u64, &[]);
+        self.workers.record(planner.accepting() as u64, &[]);
+        self.connections.record(connections as u64, &[]);
+        self.version.record(version, &[]);
+        self.exporter.text()
+    }
+}
+
+impl Sidecar {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// The error of the exporter.
+    pub fn open() -> io::Result<Self> {
+        let exporter = Exporter::open()?;
+        let meter = exporter.meter();
+        let counter = |name, about| meter.u64_counter(name).with_description(about).build();
+        let gauge = |name, about| meter.u64_gauge(name).with_description(about).build();
+        let run_ms = meter
+            .f64_histogram("kingcup_run_ms")
+            .with_description("Time from a run's start to its end, in milliseconds, by end")
+            .with_boundaries(BOUNDS_MS.to_vec());
+        Ok(Self {
+            ends: counter("kingcup_runs", "Runs that ended, by end"),
+            run_ms: run_ms.build(),
+            refusals: counter("kingcup_starts_refused", "Starts that were refused, by reason"),
+            orders: counter("kingcup_orders", "Orders to the upstream, by reply"),
+            running: gauge("kingcup_running", "Runs that take room"),
+            waiting: gauge("kingcup_waiting", "Starts that wait for room"),
+            entries: gauge("kingcup_entries", "Entries that are connected"),
+            exporter,
+        })
+    }
+
+    /// Counts an end.
+    pub fn ended(&self, how: How, ran_us: u64) {
+        let labels = [KeyValue::new("end", format!("{how:?}").to_lowercase())];
+        self.ends.add(1, &labels);
+        self.run_ms.record(ran_us as f64 / 1000.0, &labels);
+    }
+
+    /// Counts a refused start.
+    pub fn refused(&self, reason: Reason) {
+        self.refusals.add(1, &[KeyValue::new("reason", format!("{reason:?}"))]);
+    }
+
+    /// Counts the reply to an order.
+    pub fn replied(&self, reply: Reply) {
+        self.orders.add(1, &[KeyValue::new("reply", format!("{reply:?}"))]);
+    }
+
+    /// Text for a scrape.
+    pub fn text(&self, supervisor: &Supervisor, entries: usize) -> Vec<u8> {
+        self.running.record(supervisor.running() as u64, &[]);
+        self.waiting.record(supervisor.waiting() as u64, &[]);
+        self.entries.record(entries as u64, &[]);
+        self.exporter.text()
+    }
+}
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -16,7 +16,7 @@
 use super::{
     border::{self, Heard},
     mesh::Mesh,
-    settings, translate,
+    metrics, settings, translate,
     upstream::Token,
 };
 use crate::{
@@ -50,6 +50,7 @@
     pub(super) client: Client<Token>,
     control: Server,
     metrics: Server,
+    pub(super) meter: metrics::Sidecar,
     links: Table,
     mesh: Mesh,
     peers: HashMap<Id, Peer>,
@@ -86,7 +87,7 @@
         let fwd = fwd_to!([cx], accept_control() as (Ready));
         let control = Server::bind(cx, settings.control, LIMITS, CONTROL_CONNECTIONS, fwd)?;
         let fwd = fwd_to!([cx], accept_metrics() as (Ready));
-        let metrics = Server::bind(cx, settings.process.metrics, LIMITS, CONTROL_CONNECTIONS, fwd)?;
+        let page = Server::bind(cx, settings.process.metrics, LIMITS, CONTROL_CONNECTIONS, fwd)?;
         let signal = fwd_to!([cx], signal() as (i32));
         let signals = reactor::signals(cx, &super::SIGNALS, signal)?;
         let incarnation = reactor::incarnation();
@@ -100,7 +101,8 @@
             supervisor: Supervisor::open(),
             client: Client::open(LIMITS),
             control,
-            metrics,
+            metrics: page,
+            meter: metrics::Sidecar::open()?,
             links: Table::open(Key::derive(&settings.process.secret)),
             mesh: Mesh::open(settings.process.address(), &settings.process.entries, now_us),
             peers: HashMap::new(),
@@ -282,7 +284,7 @@
         let mut ends: Vec<(Entry, End)> = Vec::new();
         for effect in effects {
             match effect {
-                Effect::Ended { entry, end } => ends.push((entry, end)),
+                Effect::Ended { entry, end, .. } => ends.push((entry, end)),
                 other => self.supervisor.put_back(other),
             }
         }
@@ -333,9 +335,19 @@
             match effect {
                 Effect::Order { key, order } => self.call_order(cx, key, order, now_us),
                 Effect::Look { .. } => self.call_look(cx, &effect, now_us),
-                Effect::Ended { entry, end } => ends.push((entry, end)),
-                Effect::Refused { entry, run, reason } => {
-                    log::info!("event=start_refused run={run} reason={reason:?}");
+                Effect::Ended { entry, task, end } => {
+                    log::info!(
+                        "event=run_ended task={task} run={} how={:?} ran_us={}",
+                        end.run,
+                        end.how,
+                        end.ran_us
+                    );
+                    self.meter.ended(end.how, end.ran_us);
+                    ends.push((entry, end));
+                }
+                Effect::Refused { entry, task, run, reason } => {
+                    log::info!("event=start_refused task={task} run={run} reason={reason:?}");
+                    self.meter.refused(reason);
                     if let Some(link) = self.link_of(entry) {
                         refusals.entry(link).or_default().push(run);
                     }
@@ -411,12 +423,7 @@
         let now_us = self.wake();
         let mut event = self.metrics.read(id, now_us);
         while let Some(Event::Request(_)) = event {
-            let text = format!(
-                "kingcup_runs {}\nkingcup_waiting {}\nkingcup_links {}\n",
-                self.supervisor.running(),
-                self.supervisor.waiting(),
-                self.peers.len()
-            );
+            let text = self.meter.text(&self.supervisor, self.peers.len());
             self.metrics.respond(id, &Response::of(200, "text/plain", text));
             event = self.metrics.next(id);
         }
--- a/crates/node/src/runs/upstream.rs
+++ b/crates/node/src/runs/upstream.rs
@@ -22,6 +22,7 @@
 
 impl Sidecar {
     pub(super) fn call_order(&mut self, cx: CX![], key: run::Key, order: Order, now_us: u64) {
+        log::info!("event=order {} running={}", describe(&order), self.supervisor.running());
         let request = (self.border.order)(&self.upstream_name(), &order);
         let token = Token::Order(key, order);
         let (to, due) = (self.settings.upstream, now_us + ORDER_US);
@@ -66,8 +67,9 @@
         match token {
             Token::Order(key, order) => {
                 let (reply, clock_ms) = (self.border.order_reply)(result);
+                self.meter.replied(reply);
                 if reply != Reply::Done {
-                    log::info!("event=order_failed order={} reply={reply:?}", describe(&order));
+                    log::info!("event=order_failed {} reply={reply:?}", describe(&order));
                 }
                 self.supervisor.replied(key, &order, reply, clock_ms, now_us);
             }
@@ -88,7 +90,7 @@
 
 fn describe(order: &Order) -> String {
     match order {
-        Order::Start { task, attempt, .. } => format!("start task={task} attempt={attempt}"),
-        Order::Stop { task, attempt, .. } => format!("stop task={task} attempt={attempt}"),
+        Order::Start { task, attempt, .. } => format!("order=start task={task} attempt={attempt}"),
+        Order::Stop { task, attempt, .. } => format!("order=stop task={task} attempt={attempt}"),
     }
 }
--- a/crates/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -145,12 +145,14 @@
         let number = fastrand::u64(..);
         let file = std::env::temp_dir().join(format!("kingcup-entry-test-{number:x}.ini"));
         std::fs::write(&file, settings).unwrap();
+        let log = File::create(file.with_extension("log")).unwrap();
         let mut child = Command::new("sh")
             .arg("-c")
             .arg(format!("ulimit -n {files}; exec \"$0\" --settings \"$1\""))
             .arg(env!("CARGO_BIN_EXE_kingcup-entry"))
             .arg(&file)
-            .stderr(File::create(file.with_extension("log")).unwrap())
+            .stdout(log.try_clone().unwrap())
+            .stderr(log)
             .spawn()
             .unwrap();
         let in_force = wait_for("document in force", || {
