Tell repeated callers by their time left against the queue's, not by a learned mean

Cause: entries that were themselves restarted had not learned the usual time, just when most callers come again. A caller with less time left than callers of its queue have at first (the route's time-out, 1.5 s at most) was here before.

--- a/crates/dispatch/src/plan/admission.rs
+++ b/crates/dispatch/src/plan/admission.rs
@@ -7,7 +7,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use super::{job::Task, Job, Planner, Submission};
+use super::{job::Task, Job, Planner};
 
 /// Time over which the load of a kind is averaged, in microseconds. Long against a burst, so that a
 /// burst of one kind does not make it worthless at once.
@@ -21,8 +21,6 @@
 /// Time over which the work that waits is averaged, in microseconds: a few times the wait that is let
 /// happen.
 const QUEUED_WINDOW_US: f64 = 200_000.0;
-/// Part of the usual time to wait below which a caller has tried before.
-const REPEATED_SHARE: f64 = 0.5;
 /// Part of a job's worth that does not depend on its size; from the platform's rules on credit.
 const FIXED_WORTH: f64 = 0.3;
 
@@ -45,7 +43,6 @@
     load_us: u64,
     mean_work: f64,
     mean_slack_us: f64,
-    mean_timeout_us: f64,
 }
 
 impl Kind {
@@ -76,22 +73,6 @@
 pub(super) type Kinds = HashMap<(Arc<str>, Arc<str>), Kind>;
 
 impl Planner {
-    /// True if the caller has tried before: much of the time for which callers of its kind wait has
-    /// passed. Its objective counts from its first attempt, so it is served only with room to spare.
-    pub(super) fn is_repeated(&mut self, submission: &Submission) -> bool {
-        let name = (submission.service.clone(), submission.queue.clone());
-        let kind = self.kinds.entry(name).or_default();
-        let timeout_us = submission.timeout_us as f64;
-        if timeout_us < kind.mean_timeout_us * REPEATED_SHARE {
-            return true;
-        }
-        if kind.mean_timeout_us == 0.0 {
-            kind.mean_timeout_us = timeout_us;
-        }
-        kind.mean_timeout_us += (timeout_us - kind.mean_timeout_us) * MEAN_WEIGHT;
-        false
-    }
-
     /// Decides on a job that arrives.
     pub(super) fn admit(&mut self, key: Job, now_us: u64) -> Verdict {
         let job = &self.jobs[key];
--- a/crates/dispatch/src/plan/job.rs
+++ b/crates/dispatch/src/plan/job.rs
@@ -56,10 +56,20 @@
     pub attempts: u32,
     /// Time for which the caller waits, in microseconds.
     pub timeout_us: u64,
+    /// Time for which callers of this queue wait at first, in microseconds.
+    pub usual_timeout_us: u64,
     /// Label that a worker must have.
     pub requires: Option<Arc<str>>,
 }
 
+impl Submission {
+    /// True if the caller has tried before: some of the time for which it waits has passed. Its objective
+    /// counts from its first attempt, so it is served only with room to spare.
+    pub fn is_repeated(&self) -> bool {
+        self.timeout_us < self.usual_timeout_us
+    }
+}
+
 /// State of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Task {
@@ -172,7 +182,7 @@
         let work_us = estimate.expect_us(submission.declared_us);
         let target_us = work_us * submission.stretch_permille / 1000 + submission.allowance_us;
         let tasks = usize::from(submission.tasks);
-        let repeated = self.is_repeated(&submission);
+        let repeated = submission.is_repeated();
         self.next_job += 1;
         let record = Record {
             serial: self.next_job,
--- a/crates/dispatch/src/routes.rs
+++ b/crates/dispatch/src/routes.rs
@@ -21,6 +21,8 @@
     pub stretch_permille: u64,
     /// ... and this time more, in microseconds.
     pub allowance_us: u64,
+    /// Time for which callers wait, in microseconds.
+    pub timeout_us: u64,
 }
 
 /// All queues of one version of the configuration.
--- a/crates/dispatch/tests/plan.rs
+++ b/crates/dispatch/tests/plan.rs
@@ -46,6 +46,7 @@
         allowance_us: 60_000,
         attempts: 2,
         timeout_us: 3_000_000,
+        usual_timeout_us: 1_500_000,
         requires: None,
     }
 }
@@ -218,6 +219,18 @@
     assert!(starts(&mut planner).is_empty());
 }
 
+/// Guards against callers that have tried before, whose objective has passed, taking room from others.
+#[test]
+fn a_repeated_submission_is_served_only_with_room_to_spare() {
+    let (mut planner, _) = planner(1);
+    let again = |id| Submission { timeout_us: 700_000, ..submission(id, 2) };
+    planner.submit(again("a"), NOW_US);
+    assert_eq!(starts(&mut planner).len(), 2);
+    planner.submit(again("b"), NOW_US);
+    let answers = answers(&mut planner);
+    assert!(matches!(answers[..], [Answer::NotRun { .. }]), "{answers:?}");
+}
+
 /// Guards against a job that waits although no worker can take it.
 #[test]
 fn a_job_without_workers_is_refused_at_once() {
