--- a/crates/dispatch/src/plan/job.rs
+++ b/crates/dispatch/src/plan/job.rs
@@ -168,6 +168,13 @@
 }
 
 impl Planner {
+    /// Expected run time of a task of a job that is not submitted yet, in microseconds.
+    pub fn expect_us(&self, submission: &Submission) -> u64 {
+        let declared_us = submission.declared_us;
+        let estimate = self.estimates.get(&submission.queue);
+        estimate.map_or(declared_us, |estimate| estimate.expect_us(declared_us))
+    }
+
     /// Takes a job, or refuses it at once. A job that is submitted again while it is here goes on, for
     /// its new caller.
     pub fn submit(&mut self, submission: Submission, now_us: u64) -> Key {
@@ -178,8 +185,7 @@
             self.effects.push(Effect::Answer { token, answer: Answer::GaveUp });
             return key;
         }
-        let estimate = self.estimates.entry(submission.queue.clone()).or_default();
-        let work_us = estimate.expect_us(submission.declared_us);
+        let work_us = self.expect_us(&submission);
         let target_us = work_us * submission.stretch_permille / 1000 + submission.allowance_us;
         let tasks = usize::from(submission.tasks);
         let repeated = submission.is_repeated();
--- a/crates/node/src/runs/callers.rs
+++ b/crates/node/src/runs/callers.rs
@@ -92,7 +92,8 @@
         spec: String,
         now_us: u64,
     ) {
-        if self.refuses_new(now_us) {
+        self.asked_us = now_us;
+        if self.refuses(&submission, now_us) {
             log::info!("event=job_refused job={} reason=stopping", submission.id);
             return self.tell(id, Told::Unavailable(RETURN_MS));
         }
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -2,7 +2,9 @@
 
 use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
-use kingcup_dispatch::plan::{Effect, Job, Planner, Worker, MAX_SLEEP_US, SIDECAR_WAIT_US};
+use kingcup_dispatch::plan::{
+    Effect, Job, Planner, Submission, Worker, MAX_SLEEP_US, SIDECAR_WAIT_US,
+};
 use kingcup_wire::{
     run::{self, Message},
     Frame, Key, Role,
@@ -38,9 +40,16 @@
 /// Shortest time between two renewals to one sidecar, in microseconds: load reports come more often
 /// than leases need renewing.
 const RENEW_US: u64 = 60_000;
-/// Time for which a stopping entry takes new jobs, in microseconds. The balancer checks readiness
-/// once a second and stops sending after two misses.
-const STOP_SERVING_US: u64 = 2_500_000;
+/// Least time from the signal to stop to the end, in microseconds. The balancer checks readiness once a
+/// second and opens no new connections after two misses.
+const STOP_LEAST_US: u64 = 2_500_000;
+/// Time from the signal to stop until connections are closed after a response, in microseconds: the
+/// balancer then sends callers that connect again to other entries.
+const STOP_CLOSE_US: u64 = 2_200_000;
+/// Time without requests after which a stopping entry ends, in microseconds.
+const STOP_QUIET_US: u64 = 300_000;
+/// Time for the way of a job's last answers before the end of this entry, in microseconds.
+const STOP_MARGIN_US: u64 = 200_000;
 /// Connections of callers.
 const CALLERS: usize = 3_000;
 /// Connections at the other addresses.
@@ -98,6 +107,8 @@
     incarnation: u64,
     timer: MinTimerKey,
     thawed_us: u64,
+    /// Time of the last submission.
+    pub(super) asked_us: u64,
     peers_due_us: u64,
     announce_due_us: Option<u64>,
     stopping_us: Option<u64>,
@@ -165,6 +176,7 @@
             incarnation,
             timer: MinTimerKey::default(),
             thawed_us: 0,
+            asked_us: 0,
             peers_due_us: now_us,
             announce_due_us: None,
             stopping_us: None,
@@ -185,11 +197,16 @@
         now_us
     }
 
-    /// True while requests may have arrived before a suspension that has just ended, and once a stop
-    /// has gone on long enough.
-    pub(super) fn refuses_new(&self, now_us: u64) -> bool {
+    /// True while requests may have arrived before a suspension that has just ended, and for a job that
+    /// may not end before this entry does.
+    pub(super) fn refuses(&self, submission: &Submission, now_us: u64) -> bool {
         let thawing = self.thawed_us != 0 && now_us < self.thawed_us + MAX_SLEEP_US;
-        thawing || self.stopping_us.is_some_and(|at| at + STOP_SERVING_US <= now_us)
+        let ends_us = now_us + self.planner.expect_us(submission) * 3 / 2 + STOP_MARGIN_US;
+        thawing || self.stop_by_us().is_some_and(|stop_by_us| ends_us > stop_by_us)
+    }
+
+    fn stop_by_us(&self) -> Option<u64> {
+        self.stopping_us.map(|at| at + self.settings.stop_timeout_ms * 1000)
     }
 
     pub(super) fn is_ready(&self) -> bool {
@@ -616,9 +633,15 @@
     }
 
     fn stop_if_idle(&mut self, cx: CX![], now_us: u64) -> bool {
-        let Some(at) = self.stopping_us else { return false };
-        let idle = self.planner.unanswered() == 0 && at + STOP_SERVING_US <= now_us;
-        if !idle && now_us < at + self.settings.stop_timeout_ms * 1000 {
+        let (Some(at), Some(stop_by_us)) = (self.stopping_us, self.stop_by_us()) else {
+            return false;
+        };
+        if now_us >= at + STOP_CLOSE_US {
+            self.callers.close_after_responses();
+        }
+        let quiet = self.asked_us + STOP_QUIET_US <= now_us;
+        let idle = self.planner.unanswered() == 0 && at + STOP_LEAST_US <= now_us && quiet;
+        if !idle && now_us < stop_by_us {
             return false;
         }
         log::info!("event=stopped jobs={}", self.planner.unanswered());
--- a/crates/node/src/web/server.rs
+++ b/crates/node/src/web/server.rs
@@ -47,6 +47,8 @@
     connections: SlotMap<Id, Connection>,
     limits: Limits,
     most: usize,
+    /// Connections close after their next response.
+    closing: bool,
 }
 
 impl Server {
@@ -64,7 +66,7 @@
     ) -> io::Result<Self> {
         let poll = cx.anymap_get::<MioPoll>();
         let listener = poll.add(TcpListener::bind(address)?, Interest::READABLE, PRIORITY, fwd)?;
-        Ok(Self { listener, connections: SlotMap::with_key(), limits, most })
+        Ok(Self { listener, connections: SlotMap::with_key(), limits, most, closing: false })
     }
 
     /// Address that is listened on.
@@ -81,6 +83,11 @@
         self.limits = limits;
     }
 
+    /// Closes each connection after its next response, so that callers open new ones elsewhere.
+    pub fn close_after_responses(&mut self) {
+        self.closing = true;
+    }
+
     /// Number of connections.
     pub fn len(&self) -> usize {
         self.connections.len()
@@ -184,6 +191,7 @@
     /// already wait: `next` gives it.
     pub fn respond(&mut self, id: Id, response: &Response) -> bool {
         let Some(connection) = self.connections.get_mut(id) else { return false };
+        connection.closing |= self.closing;
         response.write(&mut connection.stream.out, connection.closing);
         connection.busy = false;
         connection.stream.out_eof = connection.closing;
