Repeat unanswered starts after 20 ms and look again sooner

The time now starts at 20 ms and doubles; looks wait 25 ms, and an answer that has arrived counts before a time-out of our own.

--- a/crates/bench/src/runs/world.rs
+++ b/crates/bench/src/runs/world.rs
@@ -21,8 +21,6 @@
 const LINK_US: u64 = 1_200;
 /// One way between a sidecar and its upstream, in microseconds.
 const CALL_US: u64 = 300;
-/// Time after which a sidecar takes an order as unanswered, in microseconds.
-const ORDER_US: u64 = 60_000;
 /// Longest sleep of a process, in microseconds.
 const SLEEP_US: u64 = 100_000;
 /// Shortest time between two renewals, in microseconds.
@@ -536,12 +534,12 @@
     fn sidecar_effect(&mut self, sidecar: usize, effect: worker::Effect) {
         let now_us = self.now_us;
         match effect {
-            worker::Effect::Order { key, order } => {
+            worker::Effect::Order { key, order, timeout_us } => {
                 if self.rng.f64() < self.late {
                     let at_us = now_us + self.rng.u64(2_000_000..12_000_000);
                     self.push(at_us, Event::Order(sidecar, key, order.clone(), false));
                     let reply = Event::Reply(sidecar, key, order, Reply::Unanswered, 0);
-                    self.push(now_us + ORDER_US, reply);
+                    self.push(now_us + timeout_us, reply);
                 } else {
                     self.push(now_us + CALL_US, Event::Order(sidecar, key, order, true));
                 }
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -41,17 +41,22 @@
 pub const LOAD_INTERVAL_US: u64 = 2_500;
 /// Time after which a stop whose run is still listed is sent again, in microseconds.
 const STOP_RETRY_US: u64 = 60_000;
+/// Time after which the first order for a start counts as unanswered, in microseconds. An upstream answers
+/// its own VM in about a millisecond, and a start can be repeated without harm; each repetition doubles it.
+const ORDER_TIMEOUT_US: u64 = 20_000;
+/// Longest time for an answer to an order, in microseconds.
+const MAX_ORDER_TIMEOUT_US: u64 = 160_000;
 /// Starts of one run that may stay unanswered before it is stopped.
 const START_TRIES: u32 = 8;
-/// Answers in a row that may be missing before the upstream is given no new work.
-const SILENT_LOOKS: u32 = 2;
+/// Looks in a row that may stay unanswered before the upstream is given no new work: about 0.2 s.
+const SILENT_LOOKS: u32 = 5;
 /// Wait of a look while runs are active, in milliseconds: bounds the delay of an end whose answer
 /// was lost.
-const LOOK_WAIT_MS: u32 = 60;
+const LOOK_WAIT_MS: u32 = 25;
 /// Wait of a look while nothing runs, in milliseconds. Well below the upstream's lease, which the
 /// next look renews.
 const IDLE_WAIT_MS: u32 = 200;
-/// Time between two looks at an upstream that does not answer, in microseconds.
+/// Least time from one look to the next at an upstream that does not answer, in microseconds.
 const LOOK_RETRY_US: u64 = 50_000;
 
 /// What an upstream VM reported about itself.
@@ -99,6 +104,7 @@
     looking: bool,
     look_number: u64,
     look_due_us: u64,
+    look_sent_us: u64,
     missed_looks: u32,
     /// Time by which the upstream has ended everything unless its lease is renewed.
     lease_end_us: u64,
@@ -133,6 +139,7 @@
             looking: false,
             look_number: 0,
             look_due_us: 0,
+            look_sent_us: 0,
             missed_looks: 0,
             lease_end_us: 0,
             runs: SlotMap::with_key(),
--- a/crates/dispatch/src/worker/action.rs
+++ b/crates/dispatch/src/worker/action.rs
@@ -13,6 +13,8 @@
         key: run::Key,
         /// The call.
         order: Order,
+        /// Time after which it counts as unanswered, in microseconds.
+        timeout_us: u64,
     },
     /// Ask the upstream what runs there, and renew its lease.
     Look {
--- a/crates/dispatch/src/worker/look.rs
+++ b/crates/dispatch/src/worker/look.rs
@@ -32,6 +32,7 @@
             return;
         }
         self.looking = true;
+        self.look_sent_us = now_us;
         self.look_number += 1;
         let idle = self.runs.values().all(|run| !run.takes_room());
         let clock_ms = self.clock.at_ms(now_us).filter(|_| self.phase != Phase::Unknown);
@@ -105,7 +106,8 @@
             return;
         }
         self.looking = false;
-        self.look_due_us = now_us + LOOK_RETRY_US;
+        // An answer that was lost is asked for at once, but not one that was refused at once.
+        self.look_due_us = now_us.max(self.look_sent_us + LOOK_RETRY_US);
         match (reply, clock_ms) {
             (Reply::Fence, Some(clock_ms)) => {
                 self.clock.read(clock_ms, now_us);
@@ -140,7 +142,8 @@
             }
             let order =
                 super::Order::Stop { task: name.0.clone(), attempt: name.1, fence: self.fence };
-            self.effects.push(Effect::Order { key: run::Key::default(), order });
+            let (key, timeout_us) = (run::Key::default(), STOP_RETRY_US);
+            self.effects.push(Effect::Order { key, order, timeout_us });
             self.strangers.insert(name, now_us);
         }
         if self.phase == Phase::Clearing {
--- a/crates/dispatch/src/worker/order.rs
+++ b/crates/dispatch/src/worker/order.rs
@@ -4,8 +4,8 @@
     action::{Effect, Order, Reason, Reply},
     entry::Entry,
     run::{self, How, Run, Start, State},
-    Phase, Supervisor, ENTRY_LEASE_US, SLOW_CLOCK_PERMILLE, START_TRIES, STOP_US,
-    UPSTREAM_LEASE_US,
+    Phase, Supervisor, ENTRY_LEASE_US, MAX_ORDER_TIMEOUT_US, ORDER_TIMEOUT_US, SLOW_CLOCK_PERMILLE,
+    START_TRIES, STOP_RETRY_US, STOP_US, UPSTREAM_LEASE_US,
 };
 
 impl Supervisor {
@@ -168,7 +168,8 @@
             deadline_ms: clock_ms + UPSTREAM_LEASE_US / 1000,
             fence: self.fence,
         };
-        self.effects.push(Effect::Order { key, order });
+        let timeout_us = (ORDER_TIMEOUT_US << (tries - 1)).min(MAX_ORDER_TIMEOUT_US);
+        self.effects.push(Effect::Order { key, order, timeout_us });
     }
 
     /// Notes the latest time at which the upstream ends everything if it hears nothing further.
@@ -191,7 +192,7 @@
         let Some(run) = self.runs.get_mut(key) else { return };
         run.state = State::Stopping { sent_us: now_us, look };
         let order = Order::Stop { task: run.task.clone(), attempt: run.attempt, fence: self.fence };
-        self.effects.push(Effect::Order { key, order });
+        self.effects.push(Effect::Order { key, order, timeout_us: STOP_RETRY_US });
     }
 
     /// Does what is due about one run.
--- a/crates/dispatch/tests/worker.rs
+++ b/crates/dispatch/tests/worker.rs
@@ -78,7 +78,7 @@
     let mut orders = Vec::new();
     for effect in supervisor.drain() {
         match effect {
-            Effect::Order { key, order } => orders.push((key, order)),
+            Effect::Order { key, order, .. } => orders.push((key, order)),
             Effect::Look { .. } => supervisor.put_back(effect),
             _ => {}
         }
@@ -296,6 +296,25 @@
     assert!(lost_us.is_none_or(|lost_us| lost_us >= gone_us));
 }
 
+/// Guards against calls without a pause to an upstream that resets each connection at once.
+#[test]
+fn looks_that_fail_at_once_are_spaced() {
+    let now_us = 1_000_000;
+    let (mut supervisor, _) = open(now_us);
+    let mut looks = 0;
+    for step in 0..1_000 {
+        let at_us = now_us + step * 1_000;
+        supervisor.tick(at_us);
+        for effect in supervisor.drain() {
+            if let Effect::Look { number, .. } = effect {
+                looks += 1;
+                supervisor.look_failed(number, Reply::Unanswered, None, at_us);
+            }
+        }
+    }
+    assert!(looks <= 21, "{looks} looks in a second");
+}
+
 /// Guards against reports that arrive late, also those of an earlier life.
 #[test]
 fn an_older_report_changes_nothing() {
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -256,7 +256,7 @@
 
     fn store_ready(&mut self, cx: CX![], id: client::Id, _: Ready) {
         let now_us = self.wake();
-        if let Some((_, result)) = self.client.read(id) {
+        if let Some((_, result)) = self.client.ready(id) {
             self.store_answered(&result, now_us);
             self.call_store(cx, now_us);
         }
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -333,7 +333,9 @@
         let mut profile = false;
         for effect in effects {
             match effect {
-                Effect::Order { key, order } => self.call_order(cx, key, order, now_us),
+                Effect::Order { key, order, timeout_us } => {
+                    self.call_order(cx, key, order, timeout_us, now_us);
+                }
                 Effect::Look { .. } => self.call_look(cx, &effect, now_us),
                 Effect::Ended { entry, task, end } => {
                     log::info!(
--- a/crates/node/src/runs/upstream.rs
+++ b/crates/node/src/runs/upstream.rs
@@ -7,9 +7,6 @@
 use super::sidecar::Sidecar;
 use crate::web::{client, Fault, Response};
 
-/// Time limit of an order, in microseconds. The upstream answers in about a millisecond; a start that
-/// stays unanswered is sent again under the same number.
-const ORDER_US: u64 = 60_000;
 /// Time limit of a look, beyond the time that it waits at the upstream, in microseconds.
 const LOOK_US: u64 = 60_000;
 
@@ -21,11 +18,18 @@
 }
 
 impl Sidecar {
-    pub(super) fn call_order(&mut self, cx: CX![], key: run::Key, order: Order, now_us: u64) {
+    pub(super) fn call_order(
+        &mut self,
+        cx: CX![],
+        key: run::Key,
+        order: Order,
+        timeout_us: u64,
+        now_us: u64,
+    ) {
         log::info!("event=order {} running={}", describe(&order), self.supervisor.running());
         let request = (self.border.order)(&self.upstream_name(), &order);
         let token = Token::Order(key, order);
-        let (to, due) = (self.settings.upstream, now_us + ORDER_US);
+        let (to, due) = (self.settings.upstream, now_us + timeout_us);
         if let Err((token, result)) =
             self.client.call(cx, to, &request, due, token, Self::upstream_ready)
         {
@@ -50,7 +54,7 @@
 
     fn upstream_ready(&mut self, cx: CX![], id: client::Id, _: Ready) {
         let now_us = self.wake();
-        if let Some((token, result)) = self.client.read(id) {
+        if let Some((token, result)) = self.client.ready(id) {
             self.upstream_answered(token, &result, now_us);
         }
         self.settle(cx, now_us);
--- a/crates/node/src/web/client.rs
+++ b/crates/node/src/web/client.rs
@@ -117,9 +117,13 @@
     }
 
     /// Handles an event of a connection; gives the call that ended, if one did.
-    pub fn read(&mut self, id: Id) -> Option<Done<T>> {
+    pub fn ready(&mut self, id: Id) -> Option<Done<T>> {
+        self.lines.get_mut(id)?.connected = true;
+        self.read(id)
+    }
+
+    fn read(&mut self, id: Id) -> Option<Done<T>> {
         let line = self.lines.get_mut(id)?;
-        line.connected = true;
         if let Err(error) = line.stream.flush() {
             return self.fail(id, fault(&error));
         }
@@ -163,12 +167,15 @@
         deadlines.map(|(_, deadline_us)| *deadline_us).min().unwrap_or(u64::MAX)
     }
 
-    /// Ends the calls whose deadline has passed, and their connections.
+    /// Ends the calls whose deadline has passed, and their connections. An answer that has arrived
+    /// meanwhile counts: this process may have been late itself.
     pub fn expire(&mut self, now_us: u64) -> Vec<Done<T>> {
         let late = |line: &Line<T>| line.call.as_ref().is_some_and(|(_, due_us)| *due_us <= now_us);
         let ids: Vec<Id> =
             self.lines.iter().filter(|(_, line)| late(line)).map(|(id, _)| id).collect();
-        ids.into_iter().filter_map(|id| self.fail(id, Fault::Unanswered)).collect()
+        ids.into_iter()
+            .filter_map(|id| self.read(id).or_else(|| self.fail(id, Fault::Unanswered)))
+            .collect()
     }
 
     /// Closes idle connections to an address.
