--- a/crates/bench/src/runs/world.rs
+++ b/crates/bench/src/runs/world.rs
@@ -220,7 +220,8 @@
             let mut planner = Planner::open(seed + entry as u64);
             planner.set_entries(self.size.entries);
             let workers = (0..self.size.sidecars)
-                .map(|sidecar| planner.joined(&format!("sidecar-{sidecar}"), 1, &[], 0))
+                .map(|sidecar| planner.joined(&format!("sidecar-{sidecar}"), 1, 1, &[], 0))
+                .map(|worker| worker.expect("the first connection is the newest"))
                 .collect();
             self.entries.push(EntryNode {
                 planner,
--- a/crates/dispatch/src/plan/worker.rs
+++ b/crates/dispatch/src/plan/worker.rs
@@ -44,6 +44,7 @@
 pub(super) struct Member {
     pub name: Arc<str>,
     pub incarnation: u64,
+    pub generation: u64,
     pub profile: Profile,
     pub load: Load,
     /// Runs that were sent and are not in the load.
@@ -139,8 +140,16 @@
 
 impl Planner {
     /// A connection to a sidecar is open. `held` are the runs that it has of this entry; others that
-    /// were sent there are gone.
-    pub fn joined(&mut self, name: &str, incarnation: u64, held: &[u64], now_us: u64) -> Worker {
+    /// were sent there are gone. `generation` rises with the connections of one incarnation; a list that was
+    /// held up on an older one says nothing of what was sent since, and gives nothing.
+    pub fn joined(
+        &mut self,
+        name: &str,
+        incarnation: u64,
+        generation: u64,
+        held: &[u64],
+        now_us: u64,
+    ) -> Option<Worker> {
         let old: Vec<Worker> = self
             .workers
             .iter()
@@ -152,6 +161,9 @@
             .iter()
             .find(|(_, member)| *member.name == *name && member.incarnation == incarnation);
         let known = known.map(|(key, _)| key);
+        if known.is_some_and(|key| self.workers[key].generation > generation) {
+            return None;
+        }
         if known.is_none() {
             self.settled_us = now_us + SETTLE_US;
         }
@@ -159,6 +171,7 @@
             self.workers.insert(Member {
                 name: name.into(),
                 incarnation,
+                generation,
                 profile: Profile::default(),
                 load: Load::default(),
                 unseen: Vec::new(),
@@ -180,14 +193,19 @@
         }
         let member = &mut self.workers[key];
         member.connected = true;
+        member.generation = generation;
         member.gone_us = None;
         member.unseen.clear();
+        // Starts that were decided before are not sent on this connection: their runs are lost with the
+        // others and decided again.
+        self.effects
+            .retain(|effect| !matches!(effect, Effect::Start { worker, .. } if *worker == key));
         self.lose_runs(key, |run| !held.contains(&run), now_us);
         // Stops that were sent to a sidecar that could not be reached are lost.
         let unwanted = held.iter().copied().filter(|run| !self.is_wanted(*run));
         let stops: Vec<Effect> = unwanted.map(|run| Effect::Stop { worker: key, run }).collect();
         self.effects.extend(stops);
-        key
+        Some(key)
     }
 
     /// True if a run belongs to a job that still needs it.
--- a/crates/dispatch/src/worker/order.rs
+++ b/crates/dispatch/src/worker/order.rs
@@ -82,21 +82,24 @@
     fn start_replied(&mut self, key: run::Key, reply: Reply, now_us: u64) {
         let look = self.look_number;
         let Some(run) = self.runs.get_mut(key) else { return };
-        let State::Starting { tries } = run.state else { return };
+        let State::Starting { tries, unsure } = run.state else { return };
         match reply {
             Reply::Done => run.state = State::Running { look },
             // A copy of this start ran and has ended; the next look lists its end.
-            Reply::Old if tries > 1 => run.state = State::Running { look },
-            Reply::Old => {
+            Reply::Old if unsure => run.state = State::Running { look },
+            Reply::Old if tries < START_TRIES => {
                 run.attempt += 1;
-                self.send_start(key, tries + 1, now_us);
+                self.send_start(key, tries + 1, unsure, now_us);
             }
-            Reply::Fence | Reply::Late | Reply::Unanswered if tries < START_TRIES => {
-                self.send_start(key, tries + 1, now_us);
+            Reply::Fence | Reply::Late if tries < START_TRIES => {
+                self.send_start(key, tries + 1, unsure, now_us);
+            }
+            Reply::Unanswered if tries < START_TRIES => {
+                self.send_start(key, tries + 1, true, now_us);
             }
             Reply::Unanswered => self.stop_run(key, Reason::Unanswered, now_us),
             // An earlier copy of this start may still be on its way.
-            _ if tries > 1 => self.stop_run(key, Reason::Rejected, now_us),
+            _ if unsure => self.stop_run(key, Reason::Rejected, now_us),
             _ => self.refuse(key, Reason::Rejected),
         }
     }
@@ -134,7 +137,7 @@
             }
             if !self.is_running_already(key) {
                 self.runs[key].started_us = now_us;
-                self.send_start(key, 1, now_us);
+                self.send_start(key, 1, false, now_us);
             }
         }
     }
@@ -156,11 +159,11 @@
         self.runs.values().any(|run| run.takes_room() && run.task == *task)
     }
 
-    fn send_start(&mut self, key: run::Key, tries: u32, now_us: u64) {
+    fn send_start(&mut self, key: run::Key, tries: u32, unsure: bool, now_us: u64) {
         let Some(clock_ms) = self.clock.at_ms(now_us) else { return };
         self.extend_lease(now_us);
         let Some(run) = self.runs.get_mut(key) else { return };
-        run.state = State::Starting { tries };
+        run.state = State::Starting { tries, unsure };
         let order = Order::Start {
             task: run.task.clone(),
             attempt: run.attempt,
--- a/crates/dispatch/tests/plan.rs
+++ b/crates/dispatch/tests/plan.rs
@@ -17,7 +17,8 @@
 }
 
 fn join(planner: &mut Planner, index: usize) -> Worker {
-    let worker = planner.joined(&format!("sidecar-{index}"), 1, &[], NOW_US);
+    let worker = planner.joined(&format!("sidecar-{index}"), 1, 1, &[], NOW_US);
+    let worker = worker.expect("the first connection is the newest");
     let profile = Profile {
         name: "upstream".into(),
         service: "service".into(),
@@ -144,7 +145,7 @@
     planner.submit(submission("a", 2), NOW_US);
     let runs = starts(&mut planner);
     planner.left(runs[0].0, NOW_US);
-    planner.joined("sidecar-0", 1, &[runs[1].1], NOW_US + 1_000);
+    planner.joined("sidecar-0", 1, 2, &[runs[1].1], NOW_US + 1_000);
     let load = Load { seen: runs[1].1, free_cores: 5_000, free_memory_mb: 900 };
     planner.load(runs[0].0, load, NOW_US + 1_000);
     assert_eq!(starts(&mut planner).len(), 1);
@@ -159,11 +160,36 @@
     planner.left(runs[0].0, NOW_US);
     planner.cancel(job, NOW_US);
     planner.drain();
-    planner.joined("sidecar-0", 1, &[runs[0].1], NOW_US + 100_000);
+    planner.joined("sidecar-0", 1, 2, &[runs[0].1], NOW_US + 100_000);
     let stop = Effect::Stop { worker: runs[0].0, run: runs[0].1 };
     assert!(planner.drain().contains(&stop));
 }
 
+/// Guards against a second run because a list that was held up on an older connection does not name the
+/// first one.
+#[test]
+fn a_list_of_runs_on_an_older_connection_is_ignored() {
+    let (mut planner, _) = planner(1);
+    assert!(planner.joined("sidecar-0", 1, 3, &[], NOW_US).is_some());
+    planner.submit(submission("a", 1), NOW_US);
+    assert_eq!(starts(&mut planner).len(), 1);
+    assert!(planner.joined("sidecar-0", 1, 2, &[], NOW_US).is_none());
+    planner.tick(NOW_US + 1_000);
+    assert!(starts(&mut planner).is_empty());
+}
+
+/// Guards against a start that was decided for an older connection and goes out on the new one, beside
+/// the start that replaces it.
+#[test]
+fn a_start_that_was_not_sent_before_a_new_connection_is_not_sent_twice() {
+    let (mut planner, _) = planner(1);
+    planner.submit(submission("a", 1), NOW_US);
+    let runs = starts(&mut planner);
+    planner.ended(&end(runs[0].1, How::Stopped), NOW_US);
+    planner.joined("sidecar-0", 1, 2, &[], NOW_US);
+    assert_eq!(starts(&mut planner).len(), 1);
+}
+
 /// Guards against a retry at the worker that has just failed the task.
 #[test]
 fn a_failed_task_goes_to_another_worker_and_fails_its_job_in_the_end() {
--- a/crates/node/src/runs/callers.rs
+++ b/crates/node/src/runs/callers.rs
@@ -108,7 +108,10 @@
             arrived_us: now_us,
         };
         let job = self.planner.submit(submission, now_us);
-        self.details.insert(job, detail);
+        // A job that goes on for a new caller keeps its history.
+        if !self.details.contains_key(job) {
+            self.details.insert(job, detail);
+        }
         self.waiting.insert(id, job);
     }
 
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -80,7 +80,14 @@
     /// Nothing is known yet.
     Unknown,
     /// A sidecar, and its worker once it has told what it holds.
-    Sidecar { name: String, incarnation: u64, worker: Option<Worker>, grant: u64, renewed_us: u64 },
+    Sidecar {
+        name: String,
+        incarnation: u64,
+        generation: u64,
+        worker: Option<Worker>,
+        grant: u64,
+        renewed_us: u64,
+    },
     /// An entry.
     Entry { name: String },
 }
@@ -336,6 +343,7 @@
             name: &self.settings.process.name,
             address: self.settings.process.address(),
             incarnation: self.incarnation,
+            generation: 0,
             config: self.document.version(),
         };
         self.links.send(link, &Frame::Run(Message::Greeting(greeting)));
@@ -434,8 +442,16 @@
                 (Message::Greeting(greeting), Peer::Unknown) => {
                     self.greeted(link, &greeting, now_us);
                 }
-                (Message::Held(held), Peer::Sidecar { name, incarnation, worker, .. }) => {
-                    let key = self.planner.joined(name, *incarnation, &held, now_us);
+                (
+                    Message::Held(held),
+                    Peer::Sidecar { name, incarnation, generation, worker, .. },
+                ) => {
+                    let joined =
+                        self.planner.joined(name, *incarnation, *generation, &held, now_us);
+                    let Some(key) = joined else {
+                        log::info!("event=connection_overtaken sidecar={name}");
+                        return false;
+                    };
                     *worker = Some(key);
                     self.by_worker.insert(key, link);
                 }
@@ -507,6 +523,7 @@
             Role::Sidecar => Peer::Sidecar {
                 name,
                 incarnation: greeting.incarnation,
+                generation: greeting.generation,
                 worker: None,
                 grant: 0,
                 renewed_us: 0,
@@ -588,12 +605,21 @@
         tasks: Vec<run::Task>,
         now_us: u64,
     ) {
-        let Some(detail) = self.details.get(job) else { return };
+        let Some(detail) = self.details.get_mut(job) else { return };
+        // Without a connection the planner learns that these runs are lost.
         let Some(link) = self.by_worker.get(&worker) else { return };
-        let Some(Peer::Sidecar { grant, renewed_us, .. }) = self.peers.get_mut(link) else {
+        let Some(Peer::Sidecar { name, grant, renewed_us, .. }) = self.peers.get_mut(link) else {
             return;
         };
         *renewed_us = now_us;
+        detail.starts += tasks.len();
+        self.meter.started(tasks.len());
+        let runs: Vec<u64> = tasks.iter().map(|task| task.run).collect();
+        log::info!(
+            "event=start_sent job={} sidecar={name} runs={runs:?} waited_us={} grant={grant}",
+            detail.id,
+            now_us - detail.arrived_us
+        );
         let start = run::Start {
             grant: *grant,
             job: &detail.id,
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -55,6 +55,7 @@
     mesh: Mesh,
     peers: HashMap<Id, Peer>,
     incarnation: u64,
+    generation: u64,
     config: (u64, Vec<u8>),
     timer: MinTimerKey,
     stop_by_us: Option<u64>,
@@ -107,6 +108,7 @@
             mesh: Mesh::open(settings.process.address(), &settings.process.entries, now_us),
             peers: HashMap::new(),
             incarnation,
+            generation: 0,
             config: (0, Vec::new()),
             timer: MinTimerKey::default(),
             stop_by_us: None,
@@ -136,11 +138,13 @@
     }
 
     fn greet(&mut self, link: Id) {
+        self.generation += 1;
         let greeting = run::Greeting {
             role: Role::Sidecar,
             name: &self.settings.process.name,
             address: self.settings.process.address(),
             incarnation: self.incarnation,
+            generation: self.generation,
             config: self.config.0,
         };
         self.links.send(link, &Frame::Run(Message::Greeting(greeting)));
--- a/crates/wire/src/run.rs
+++ b/crates/wire/src/run.rs
@@ -54,6 +54,8 @@
     pub address: SocketAddr,
     /// Changes with every start of the sender.
     pub incarnation: u64,
+    /// Rises with the connections that one incarnation of the sender opens.
+    pub generation: u64,
     /// Version of the configuration that the sender has; 0 for none.
     pub config: u64,
 }
