--- a/crates/bench/src/bin/kingcup-bench-runs.rs
+++ b/crates/bench/src/bin/kingcup-bench-runs.rs
@@ -13,9 +13,12 @@
 /// The users' entries and upstreams today.
 const SIZE: Size = Size { entries: 4, sidecars: 11, cores: 32_000 };
 
+/// A load pattern: its name, the factor on all rates, bursts and faults.
+type Case = (&'static str, f64, Vec<Burst>, Vec<(u64, Fault)>);
+
 fn main() {
     let burst = |kind, factor| vec![Burst { kind, factor, from_us: 5_000_000, to_us: 15_000_000 }];
-    let cases: Vec<(&str, f64, Vec<Burst>, Vec<(u64, Fault)>)> = vec![
+    let cases: Vec<Case> = vec![
         ("calm", 0.8, vec![], vec![]),
         ("usual", 1.0, vec![], vec![]),
         ("high", 1.2, vec![], vec![]),
--- a/crates/bench/src/runs/world.rs
+++ b/crates/bench/src/runs/world.rs
@@ -1,5 +1,7 @@
 //! Entries, sidecars and upstreams that exchange messages in virtual time.
 
+mod event;
+
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap, HashSet},
@@ -9,9 +11,10 @@
 use fastrand::Rng;
 use kingcup_dispatch::{
     plan::{self, Answer, Job, Load, Planner, Submission},
-    worker::{self, run, End, Entry, How, Order, Profile, Reply, Start, Supervisor},
+    worker::{self, run, Entry, How, Order, Profile, Reply, Start, Supervisor},
 };
 
+use self::event::{EntryNode, Event, Queued, SidecarNode, ToEntry, ToSidecar};
 use super::{
     load::Arrival,
     upstream::{Name, Upstream},
@@ -67,81 +70,6 @@
     Cut(usize, usize, u64),
 }
 
-enum ToSidecar {
-    Renew(u64),
-    Start(Start),
-    Stop(u64),
-}
-
-enum ToEntry {
-    Grant(worker::Grant),
-    Ended(End),
-    Refused(u64),
-    Progress(Vec<worker::Progress>),
-    Profile(Profile),
-}
-
-enum Event {
-    /// Entry, arrival, and whether it is submitted again.
-    Arrive(usize, usize, bool),
-    Sidecar(usize, usize, ToSidecar),
-    Entry(usize, usize, ToEntry),
-    Order(usize, run::Key, Order, bool),
-    Reply(usize, run::Key, Order, Reply, u64),
-    Look(usize, u64, Option<u64>, u64, u64, u64),
-    LookEnd(usize, u64),
-    LookReply(usize, u64, Option<worker::Look>),
-    TaskEnd(usize, Name),
-    Lease(usize),
-    Tick(Process),
-    Fault(Fault),
-}
-
-struct Queued {
-    at_us: u64,
-    serial: u64,
-    event: Event,
-}
-
-impl PartialEq for Queued {
-    fn eq(&self, other: &Self) -> bool {
-        self.serial == other.serial
-    }
-}
-
-impl Eq for Queued {}
-
-impl PartialOrd for Queued {
-    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Queued {
-    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
-        (self.at_us, self.serial).cmp(&(other.at_us, other.serial))
-    }
-}
-
-struct EntryNode {
-    planner: Planner,
-    workers: Vec<plan::Worker>,
-    jobs: HashMap<Job, usize>,
-    grants: Vec<u64>,
-    renewed_us: Vec<u64>,
-    frozen_until_us: u64,
-}
-
-struct SidecarNode {
-    supervisor: Supervisor,
-    entries: Vec<Entry>,
-    upstream: Upstream,
-    /// The look that waits at the upstream: its number and the time until which it waits.
-    waiting: Option<(u64, u64)>,
-    look: u64,
-    frozen_until_us: u64,
-}
-
 /// What became of the jobs.
 #[derive(Debug, Clone, Default)]
 pub struct Outcome {
@@ -316,8 +244,8 @@
                 node.jobs.insert(job, index);
                 self.settle_entry(entry);
             }
-            Event::Sidecar(entry, sidecar, message) => self.to_sidecar(entry, sidecar, message),
-            Event::Entry(sidecar, entry, message) => self.to_entry(sidecar, entry, message),
+            Event::Sidecar(entry, sidecar, message) => self.sidecar_hears(entry, sidecar, message),
+            Event::Entry(sidecar, entry, message) => self.entry_hears(sidecar, entry, message),
             Event::Order(sidecar, key, order, answered) => {
                 self.order(sidecar, key, order, answered);
             }
@@ -480,7 +408,7 @@
         self.push(at_us, Event::Sidecar(entry, sidecar, ToSidecar::Start(start)));
     }
 
-    fn to_sidecar(&mut self, entry: usize, sidecar: usize, message: ToSidecar) {
+    fn sidecar_hears(&mut self, entry: usize, sidecar: usize, message: ToSidecar) {
         let now_us = self.now_us;
         let node = &mut self.sidecars[sidecar];
         let key = node.entries[entry];
@@ -493,7 +421,7 @@
         self.settle_sidecar(sidecar);
     }
 
-    fn to_entry(&mut self, sidecar: usize, entry: usize, message: ToEntry) {
+    fn entry_hears(&mut self, sidecar: usize, entry: usize, message: ToEntry) {
         let now_us = self.now_us;
         let node = &mut self.entries[entry];
         let worker = node.workers[sidecar];
@@ -554,7 +482,7 @@
                 self.tell(sidecar, entry, ToEntry::Grant(grant));
             }
             worker::Effect::Ended { entry, end, .. } => {
-                self.tell(sidecar, entry, ToEntry::Ended(end))
+                self.tell(sidecar, entry, ToEntry::Ended(end));
             }
             worker::Effect::Refused { entry, run, .. } => {
                 self.tell(sidecar, entry, ToEntry::Refused(run));
--- a/crates/dispatch/src/worker/order.rs
+++ b/crates/dispatch/src/worker/order.rs
@@ -114,7 +114,8 @@
 
     /// Another process has used a higher fencing token: takes one above it and looks again.
     fn raise_fence(&mut self, clock_ms: Option<u64>, now_us: u64) {
-        self.fence = clock_ms.unwrap_or(0).max(self.fence + 1);
+        // Without a clock in the reply the next reply tells whether one more is enough.
+        self.fence = clock_ms.map_or(self.fence + 1, |clock_ms| clock_ms.max(self.fence + 1));
         self.phase = Phase::Unknown;
         self.look_due_us = now_us;
     }
--- a/crates/node/src/runs.rs
+++ b/crates/node/src/runs.rs
@@ -2,7 +2,6 @@
 //! leases. What callers, upstreams and the store speak comes from a border.
 
 pub mod border;
-mod callers;
 pub mod document;
 pub mod entry;
 pub mod mesh;
@@ -10,7 +9,6 @@
 pub mod settings;
 pub mod sidecar;
 mod translate;
-mod upstream;
 
 use rustix::time::{clock_gettime, ClockId};
 
--- a/crates/node/src/runs/border.rs
+++ b/crates/node/src/runs/border.rs
@@ -8,6 +8,12 @@
 
 use crate::web::{Fault, Request, Response};
 
+/// How a call ended.
+pub type Outcome = Result<Response, Fault>;
+
+/// What an upstream replied, with its clock in milliseconds.
+pub type Replied = (Reply, Option<u64>);
+
 /// What a caller asks for.
 #[derive(Debug)]
 pub enum Ask {
@@ -100,7 +106,7 @@
     /// Call that waits for a configuration after a revision, for so many milliseconds.
     pub watch_config: fn(u64, u64) -> Request,
     /// Reads the answer to either call.
-    pub stored: fn(&Result<Response, Fault>) -> Stored,
+    pub stored: fn(&Outcome) -> Stored,
 }
 
 /// What an upstream tells its sidecar.
@@ -131,9 +137,9 @@
     /// Call that carries out an order at the upstream of this name.
     pub order: fn(&str, &Order) -> Request,
     /// Reads the answer to an order, with the upstream's clock in milliseconds.
-    pub order_reply: fn(&Result<Response, Fault>) -> (Reply, Option<u64>),
+    pub order_reply: fn(&Outcome) -> Replied,
     /// Call that looks at what runs: lease deadline, fencing token, last known end, wait.
     pub look: fn(Option<u64>, u64, u64, u32) -> Request,
     /// Reads the answer to a look, or how it failed with the upstream's clock in milliseconds.
-    pub look_reply: fn(&Result<Response, Fault>) -> Result<Look, (Reply, Option<u64>)>,
+    pub look_reply: fn(&Outcome) -> Result<Look, Replied>,
 }
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -1,13 +1,17 @@
 //! The entry: callers' jobs, their placement, and the configuration.
 
-use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
+mod callers;
+mod config;
+mod links;
+
+use std::{collections::HashMap, io, sync::Arc, time::Duration};
 
 use kingcup_dispatch::plan::{
     Effect, Job, Planner, Submission, Worker, MAX_SLEEP_US, SIDECAR_WAIT_US,
 };
 use kingcup_wire::{
     run::{self, Message},
-    Frame, Key, Role,
+    Frame, Key,
 };
 use slotmap::SecondaryMap;
 use stakker::{
@@ -16,16 +20,11 @@
 };
 use stakker_mio::{mio::net::TcpListener, MioSource, Ready};
 
-use super::{
-    border,
-    document::{Call, Document, CALL_MS, WATCH_MS},
-    mesh::Mesh,
-    metrics, settings, translate,
-};
+use super::{border, document::Document, mesh::Mesh, metrics, settings};
 use crate::{
-    link::{self, Id, Input, Table},
+    link::{self, Id, Table},
     reactor,
-    web::{client, message::Limits, server, Client, Fault, Response, Server},
+    web::{message::Limits, server, Client, Server},
 };
 
 /// A sidecar that is silent for this time is given up, in microseconds. It sends ten grants a second.
@@ -95,16 +94,16 @@
 /// A running entry.
 pub struct Entry {
     settings: settings::Entry,
-    pub(super) border: border::Entry,
-    pub(super) planner: Planner,
-    pub(super) document: Document,
-    pub(super) callers: Server,
-    pub(super) balancer: Server,
-    pub(super) control: Server,
-    pub(super) metrics: Server,
-    pub(super) meter: metrics::Entry,
-    pub(super) details: SecondaryMap<Job, Detail>,
-    pub(super) waiting: HashMap<server::Id, Job>,
+    border: border::Entry,
+    planner: Planner,
+    document: Document,
+    callers: Server,
+    balancer: Server,
+    control: Server,
+    metrics: Server,
+    meter: metrics::Entry,
+    details: SecondaryMap<Job, Detail>,
+    waiting: HashMap<server::Id, Job>,
     client: Client<()>,
     links: Table,
     listener: MioSource<TcpListener>,
@@ -115,7 +114,7 @@
     timer: MinTimerKey,
     thawed_us: u64,
     /// Time of the last submission.
-    pub(super) asked_us: u64,
+    asked_us: u64,
     peers_due_us: u64,
     announce_due_us: Option<u64>,
     stopping_us: Option<u64>,
@@ -194,7 +193,7 @@
     }
 
     /// Present time at the start of an event. Jobs that a suspension made void are given up.
-    pub(super) fn wake(&mut self) -> u64 {
+    fn wake(&mut self) -> u64 {
         let now_us = super::now_us();
         let jobs = self.planner.unanswered();
         if self.planner.wake(now_us) {
@@ -206,7 +205,7 @@
 
     /// True while requests may have arrived before a suspension that has just ended, and for a job that
     /// may not end before this entry does.
-    pub(super) fn refuses(&self, submission: &Submission, now_us: u64) -> bool {
+    fn refuses(&self, submission: &Submission, now_us: u64) -> bool {
         let thawing = self.thawed_us != 0 && now_us < self.thawed_us + MAX_SLEEP_US;
         let ends_us = now_us + self.planner.expect_us(submission) * 3 / 2 + STOP_MARGIN_US;
         thawing || self.stop_by_us().is_some_and(|stop_by_us| ends_us > stop_by_us)
@@ -216,7 +215,7 @@
         self.stopping_us.map(|at| at + self.settings.stop_timeout_ms * 1000)
     }
 
-    pub(super) fn is_ready(&self) -> bool {
+    fn is_ready(&self) -> bool {
         self.stopping_us.is_none() && self.document.version() > 0 && !self.by_worker.is_empty()
     }
 
@@ -248,300 +247,8 @@
         self.settle(cx, now_us);
     }
 
-    fn call_store(&mut self, cx: CX![], now_us: u64) {
-        let Some(call) = self.document.next_call(now_us) else { return };
-        let (request, wait_ms) = match call {
-            Call::Read => ((self.border.read_config)(), 0),
-            Call::Watch(revision) => ((self.border.watch_config)(revision, WATCH_MS), WATCH_MS),
-        };
-        let due = now_us + (wait_ms + CALL_MS) * 1000;
-        let to = self.settings.store;
-        if let Err((_, result)) = self.client.call(cx, to, &request, due, (), Self::store_ready) {
-            self.store_answered(&result, now_us);
-        }
-    }
-
-    fn store_ready(&mut self, cx: CX![], id: client::Id, _: Ready) {
-        let now_us = self.wake();
-        if let Some((_, result)) = self.client.ready(id) {
-            self.store_answered(&result, now_us);
-            self.call_store(cx, now_us);
-        }
-        self.settle(cx, now_us);
-    }
-
-    fn store_answered(&mut self, result: &Result<Response, Fault>, now_us: u64) {
-        let stored = (self.border.stored)(result);
-        if let Some(text) = self.document.answered(stored, now_us) {
-            self.offer_config(&text, "store", now_us);
-        }
-    }
-
-    /// Puts a configuration into force if it is newer, and hands it on.
-    fn offer_config(&mut self, text: &[u8], source: &str, now_us: u64) {
-        let table = match (self.border.config)(text) {
-            Ok(table) => table,
-            Err(reason) => {
-                log::warn!("event=config_rejected source={source} reason=\"{reason}\"");
-                return;
-            }
-        };
-        let (version, routes) = (table.version(), table.len());
-        if self.document.offer(table, text) {
-            log::info!("event=config_in_force version={version} routes={routes} source={source}");
-            self.announce_due_us = Some(now_us + ANNOUNCE_US);
-        }
-    }
-
-    /// Tells other entries the version in force, and hands the configuration to this entry's share of
-    /// the sidecars. A while after a change nearly all entries have it from the store, and hear only the
-    /// version.
-    fn announce_config(&mut self) {
-        let version = self.document.version();
-        let mut names: Vec<&str> = vec![&self.settings.process.name];
-        for peer in self.peers.values() {
-            if let Peer::Entry { name } = peer {
-                names.push(name);
-            }
-        }
-        names.sort_unstable();
-        names.dedup();
-        let own = names.iter().position(|name| *name == self.settings.process.name);
-        let mut shares = Vec::new();
-        let mut links = Vec::new();
-        for (link, peer) in &self.peers {
-            match peer {
-                Peer::Entry { .. } => links.push(*link),
-                Peer::Sidecar { name, .. } => {
-                    let sum: usize = name.bytes().map(usize::from).sum();
-                    if Some(sum % names.len()) == own {
-                        shares.push(*link);
-                    }
-                }
-                Peer::Unknown => {}
-            }
-        }
-        for link in links {
-            self.links.send(link, &Frame::Run(Message::Version(version)));
-        }
-        for link in shares {
-            self.send_config(link);
-        }
-    }
-
-    fn send_config(&mut self, link: Id) {
-        let version = self.document.version();
-        if version > 0 {
-            let config = run::Config { version, text: self.document.text() };
-            self.links.send(link, &Frame::Run(Message::Config(config)));
-        }
-    }
-
-    fn greet(&mut self, link: Id) {
-        let greeting = run::Greeting {
-            role: Role::Entry,
-            name: &self.settings.process.name,
-            address: self.settings.process.address(),
-            incarnation: self.incarnation,
-            generation: 0,
-            config: self.document.version(),
-        };
-        self.links.send(link, &Frame::Run(Message::Greeting(greeting)));
-    }
-
-    fn send_peers(&mut self) {
-        let mut known: Vec<SocketAddr> = self.mesh.reached().collect();
-        known.push(self.settings.process.address());
-        let frame = Frame::Run(Message::Peers(known));
-        for (link, peer) in &self.peers {
-            if !matches!(peer, Peer::Unknown) {
-                self.links.send(*link, &frame);
-            }
-        }
-        let entries: std::collections::BTreeSet<&str> = self
-            .peers
-            .values()
-            .filter_map(|peer| match peer {
-                Peer::Entry { name } => Some(name.as_str()),
-                _ => None,
-            })
-            .collect();
-        self.planner.set_entries(entries.len() + 1);
-    }
-
-    fn close_silent(&mut self, now_us: u64) {
-        let limit = |peer: Option<&Peer>| match peer {
-            Some(Peer::Entry { .. }) => ENTRY_SILENT_US,
-            _ => SILENT_US,
-        };
-        let links = self.links.iter();
-        let silent: Vec<Id> = links
-            .filter(|(id, link)| link.heard_us + limit(self.peers.get(id)) < now_us)
-            .map(|(id, _)| id)
-            .collect();
-        for link in silent.into_iter().chain(self.mesh.silent(now_us)) {
-            self.close(link, "silent", now_us);
-        }
-    }
-
-    fn close(&mut self, link: Id, reason: &str, now_us: u64) {
-        self.links.close(link);
-        self.mesh.closed(link, now_us);
-        match self.peers.remove(&link) {
-            Some(Peer::Sidecar { name, worker, renewed_us, .. }) => {
-                log::info!("event=sidecar_lost sidecar={name} reason={reason}");
-                let Some(worker) = worker else { return };
-                if self.by_worker.get(&worker) == Some(&link) {
-                    self.by_worker.remove(&worker);
-                    self.planner.left(worker, renewed_us);
-                }
-            }
-            Some(Peer::Entry { name }) => {
-                log::info!("event=entry_lost entry={name} reason={reason}");
-            }
-            Some(Peer::Unknown) | None => {}
-        }
-    }
-
-    fn accept_link(&mut self, cx: CX![], _: Ready) {
-        let now_us = self.wake();
-        while let Ok((stream, address)) = self.listener.accept() {
-            match self.links.accept(cx, stream, address, now_us, Self::link_ready) {
-                Ok(link) => {
-                    self.peers.insert(link, Peer::Unknown);
-                    self.greet(link);
-                }
-                Err(error) => log::warn!("event=accept_failed peer={address} error={error:?}"),
-            }
-        }
-        self.settle(cx, now_us);
-    }
-
-    fn link_ready(&mut self, cx: CX![], link: Id, ready: Ready) {
-        let now_us = self.wake();
-        if ready.is_writable() && !self.links.writable(link) {
-            self.close(link, "write", now_us);
-            return self.settle(cx, now_us);
-        }
-        let Some(mut input) = self.links.read(link, now_us) else { return };
-        let sound = self.messages(link, &mut input, now_us);
-        match self.links.put_back(link, input) {
-            Some(closed) => self.close(link, &format!("\"{closed:?}\""), now_us),
-            None if !sound => self.close(link, "unexpected_message", now_us),
-            None => {}
-        }
-        self.settle(cx, now_us);
-    }
-
-    /// Handles the messages of one read; false if the connection is to be closed.
-    fn messages(&mut self, link: Id, input: &mut Input, now_us: u64) -> bool {
-        while let Some(frame) = input.take_frame() {
-            let Frame::Run(message) = frame else { return false };
-            let Some(peer) = self.peers.get_mut(&link) else { return false };
-            match (message, peer) {
-                (Message::Greeting(greeting), Peer::Unknown) => {
-                    self.greeted(link, &greeting, now_us);
-                }
-                (
-                    Message::Held(held),
-                    Peer::Sidecar { name, incarnation, generation, worker, .. },
-                ) => {
-                    let joined =
-                        self.planner.joined(name, *incarnation, *generation, &held, now_us);
-                    let Some(key) = joined else {
-                        log::info!("event=connection_overtaken sidecar={name}");
-                        return false;
-                    };
-                    *worker = Some(key);
-                    self.by_worker.insert(key, link);
-                }
-                (Message::Profile(profile), Peer::Sidecar { name, worker: Some(worker), .. }) => {
-                    let profile = translate::profile_in(&profile, name);
-                    log::info!("event=worker worker={name} accepting={}", profile.ready);
-                    self.planner.profile(*worker, profile, now_us);
-                }
-                (
-                    Message::Grant(grant),
-                    Peer::Sidecar { worker, grant: newest, renewed_us, .. },
-                ) => {
-                    *newest = grant.number;
-                    if *renewed_us + RENEW_US <= now_us {
-                        *renewed_us = now_us;
-                        self.links.send(link, &Frame::Run(Message::Renew(grant.number)));
-                    }
-                    if let Some(worker) = *worker {
-                        self.planner.load(worker, translate::load_in(&grant), now_us);
-                    }
-                }
-                (Message::Ended(ends), Peer::Sidecar { .. }) => {
-                    for end in &ends {
-                        self.planner.ended(&translate::end_in(end), now_us);
-                    }
-                }
-                (Message::Progress(runs), Peer::Sidecar { .. }) => {
-                    for progress in &runs {
-                        self.planner.progress(&translate::progress_in(progress), now_us);
-                    }
-                }
-                (Message::Refused(runs), Peer::Sidecar { .. }) => {
-                    for run in runs {
-                        self.planner.refused(run, now_us);
-                    }
-                }
-                (Message::Config(config), Peer::Entry { .. }) => {
-                    self.offer_config(config.text, "entry", now_us);
-                }
-                (Message::Config(config), Peer::Sidecar { .. }) => {
-                    self.offer_config(config.text, "sidecar", now_us);
-                }
-                (Message::Version(version), Peer::Entry { .. }) => {
-                    if version > self.document.version() {
-                        self.links.send(link, &Frame::Run(Message::Fetch));
-                    }
-                }
-                (Message::Fetch, Peer::Entry { .. }) => self.send_config(link),
-                (Message::Peers(peers), Peer::Entry { .. }) => {
-                    for peer in peers {
-                        self.mesh.learn(peer, now_us);
-                    }
-                }
-                _ => return false,
-            }
-        }
-        true
-    }
-
-    fn greeted(&mut self, link: Id, greeting: &run::Greeting<'_>, now_us: u64) {
-        let name = greeting.name.to_owned();
-        log::info!(
-            "event=greeted peer={name} role={:?} incarnation={:x} config={}",
-            greeting.role,
-            greeting.incarnation,
-            greeting.config
-        );
-        let peer = match greeting.role {
-            Role::Sidecar => Peer::Sidecar {
-                name,
-                incarnation: greeting.incarnation,
-                generation: greeting.generation,
-                worker: None,
-                grant: 0,
-                renewed_us: 0,
-            },
-            Role::Entry => {
-                self.mesh.greeted(link, now_us);
-                self.mesh.learn(greeting.address, now_us);
-                if greeting.config > self.document.version() {
-                    self.links.send(link, &Frame::Run(Message::Fetch));
-                }
-                Peer::Entry { name }
-            }
-        };
-        self.peers.insert(link, peer);
-    }
-
     /// Carries out what was decided, sends what is queued and sets the timer.
-    pub(super) fn settle(&mut self, cx: CX![], now_us: u64) {
+    fn settle(&mut self, cx: CX![], now_us: u64) {
         // An answer can be followed by the caller's next request.
         loop {
             let effects = self.planner.drain();
--- a/crates/node/src/runs/callers.rs
+++ b/crates/node/src/runs/entry/callers.rs
@@ -7,11 +7,11 @@
 use stakker::CX;
 use stakker_mio::Ready;
 
-use super::{
-    border::{Ask, Told},
-    entry::{Detail, Entry},
+use super::{Detail, Entry};
+use crate::{
+    runs::border::{Ask, Told},
+    web::{server, Event, Request, Response},
 };
-use crate::web::{server, Event, Request, Response};
 
 /// Time after which callers of an entry that cannot serve now may return, in milliseconds.
 const RETURN_MS: u64 = 250;
--- /dev/null
+++ b/crates/node/src/runs/entry/links.rs
@@ -0,0 +1,221 @@
+//! The entry's connections to sidecars and other entries.
+
+use std::{collections::BTreeSet, net::SocketAddr};
+
+use kingcup_wire::{
+    run::{self, Message},
+    Frame, Role,
+};
+use stakker::CX;
+use stakker_mio::Ready;
+
+use super::{Entry, Peer, ENTRY_SILENT_US, RENEW_US, SILENT_US};
+use crate::{
+    link::{Id, Input},
+    runs::translate,
+};
+
+impl Entry {
+    pub(super) fn greet(&mut self, link: Id) {
+        let greeting = run::Greeting {
+            role: Role::Entry,
+            name: &self.settings.process.name,
+            address: self.settings.process.address(),
+            incarnation: self.incarnation,
+            generation: 0,
+            config: self.document.version(),
+        };
+        self.links.send(link, &Frame::Run(Message::Greeting(greeting)));
+    }
+
+    pub(super) fn send_peers(&mut self) {
+        let mut known: Vec<SocketAddr> = self.mesh.reached().collect();
+        known.push(self.settings.process.address());
+        let frame = Frame::Run(Message::Peers(known));
+        for (link, peer) in &self.peers {
+            if !matches!(peer, Peer::Unknown) {
+                self.links.send(*link, &frame);
+            }
+        }
+        let entries: BTreeSet<&str> = self
+            .peers
+            .values()
+            .filter_map(|peer| match peer {
+                Peer::Entry { name } => Some(name.as_str()),
+                _ => None,
+            })
+            .collect();
+        self.planner.set_entries(entries.len() + 1);
+    }
+
+    pub(super) fn close_silent(&mut self, now_us: u64) {
+        let limit = |peer: Option<&Peer>| match peer {
+            Some(Peer::Entry { .. }) => ENTRY_SILENT_US,
+            _ => SILENT_US,
+        };
+        let links = self.links.iter();
+        let silent: Vec<Id> = links
+            .filter(|(id, link)| link.heard_us + limit(self.peers.get(id)) < now_us)
+            .map(|(id, _)| id)
+            .collect();
+        for link in silent.into_iter().chain(self.mesh.silent(now_us)) {
+            self.close(link, "silent", now_us);
+        }
+    }
+
+    pub(super) fn close(&mut self, link: Id, reason: &str, now_us: u64) {
+        self.links.close(link);
+        self.mesh.closed(link, now_us);
+        match self.peers.remove(&link) {
+            Some(Peer::Sidecar { name, worker, renewed_us, .. }) => {
+                log::info!("event=sidecar_lost sidecar={name} reason={reason}");
+                let Some(worker) = worker else { return };
+                if self.by_worker.get(&worker) == Some(&link) {
+                    self.by_worker.remove(&worker);
+                    self.planner.left(worker, renewed_us);
+                }
+            }
+            Some(Peer::Entry { name }) => {
+                log::info!("event=entry_lost entry={name} reason={reason}");
+            }
+            Some(Peer::Unknown) | None => {}
+        }
+    }
+
+    pub(super) fn accept_link(&mut self, cx: CX![], _: Ready) {
+        let now_us = self.wake();
+        while let Ok((stream, address)) = self.listener.accept() {
+            match self.links.accept(cx, stream, address, now_us, Self::link_ready) {
+                Ok(link) => {
+                    self.peers.insert(link, Peer::Unknown);
+                    self.greet(link);
+                }
+                Err(error) => log::warn!("event=accept_failed peer={address} error={error:?}"),
+            }
+        }
+        self.settle(cx, now_us);
+    }
+
+    pub(super) fn link_ready(&mut self, cx: CX![], link: Id, ready: Ready) {
+        let now_us = self.wake();
+        if ready.is_writable() && !self.links.writable(link) {
+            self.close(link, "write", now_us);
+            return self.settle(cx, now_us);
+        }
+        let Some(mut input) = self.links.read(link, now_us) else { return };
+        let sound = self.messages(link, &mut input, now_us);
+        match self.links.put_back(link, input) {
+            Some(closed) => self.close(link, &format!("\"{closed:?}\""), now_us),
+            None if !sound => self.close(link, "unexpected_message", now_us),
+            None => {}
+        }
+        self.settle(cx, now_us);
+    }
+
+    /// Handles the messages of one read; false if the connection is to be closed.
+    fn messages(&mut self, link: Id, input: &mut Input, now_us: u64) -> bool {
+        while let Some(frame) = input.take_frame() {
+            let Frame::Run(message) = frame else { return false };
+            let Some(peer) = self.peers.get_mut(&link) else { return false };
+            match (message, peer) {
+                (Message::Greeting(greeting), Peer::Unknown) => {
+                    self.greeted(link, &greeting, now_us);
+                }
+                (
+                    Message::Held(held),
+                    Peer::Sidecar { name, incarnation, generation, worker, .. },
+                ) => {
+                    let joined =
+                        self.planner.joined(name, *incarnation, *generation, &held, now_us);
+                    let Some(key) = joined else {
+                        log::info!("event=connection_overtaken sidecar={name}");
+                        return false;
+                    };
+                    *worker = Some(key);
+                    self.by_worker.insert(key, link);
+                }
+                (Message::Profile(profile), Peer::Sidecar { name, worker: Some(worker), .. }) => {
+                    let profile = translate::profile_in(&profile, name);
+                    log::info!("event=worker worker={name} accepting={}", profile.ready);
+                    self.planner.profile(*worker, profile, now_us);
+                }
+                (
+                    Message::Grant(grant),
+                    Peer::Sidecar { worker, grant: newest, renewed_us, .. },
+                ) => {
+                    *newest = grant.number;
+                    if *renewed_us + RENEW_US <= now_us {
+                        *renewed_us = now_us;
+                        self.links.send(link, &Frame::Run(Message::Renew(grant.number)));
+                    }
+                    if let Some(worker) = *worker {
+                        self.planner.load(worker, translate::load_in(&grant), now_us);
+                    }
+                }
+                (Message::Ended(ends), Peer::Sidecar { .. }) => {
+                    for end in &ends {
+                        self.planner.ended(&translate::end_in(end), now_us);
+                    }
+                }
+                (Message::Progress(runs), Peer::Sidecar { .. }) => {
+                    for progress in &runs {
+                        self.planner.progress(&translate::progress_in(progress), now_us);
+                    }
+                }
+                (Message::Refused(runs), Peer::Sidecar { .. }) => {
+                    for run in runs {
+                        self.planner.refused(run, now_us);
+                    }
+                }
+                (Message::Config(config), Peer::Entry { .. }) => {
+                    self.offer_config(config.text, "entry", now_us);
+                }
+                (Message::Config(config), Peer::Sidecar { .. }) => {
+                    self.offer_config(config.text, "sidecar", now_us);
+                }
+                (Message::Version(version), Peer::Entry { .. }) => {
+                    if version > self.document.version() {
+                        self.links.send(link, &Frame::Run(Message::Fetch));
+                    }
+                }
+                (Message::Fetch, Peer::Entry { .. }) => self.send_config(link),
+                (Message::Peers(peers), Peer::Entry { .. }) => {
+                    for peer in peers {
+                        self.mesh.learn(peer, now_us);
+                    }
+                }
+                _ => return false,
+            }
+        }
+        true
+    }
+
+    fn greeted(&mut self, link: Id, greeting: &run::Greeting<'_>, now_us: u64) {
+        let name = greeting.name.to_owned();
+        log::info!(
+            "event=greeted peer={name} role={:?} incarnation={:x} config={}",
+            greeting.role,
+            greeting.incarnation,
+            greeting.config
+        );
+        let peer = match greeting.role {
+            Role::Sidecar => Peer::Sidecar {
+                name,
+                incarnation: greeting.incarnation,
+                generation: greeting.generation,
+                worker: None,
+                grant: 0,
+                renewed_us: 0,
+            },
+            Role::Entry => {
+                self.mesh.greeted(link, now_us);
+                self.mesh.learn(greeting.address, now_us);
+                if greeting.config > self.document.version() {
+                    self.links.send(link, &Frame::Run(Message::Fetch));
+                }
+                Peer::Entry { name }
+            }
+        };
+        self.peers.insert(link, peer);
+    }
+}
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -1,5 +1,7 @@
 //! The sidecar: the only process that calls its upstream.
 
+mod upstream;
+
 use std::{collections::HashMap, io, sync::Arc, time::Duration};
 
 use kingcup_dispatch::worker::{Effect, End, Entry, Start, Supervisor};
@@ -13,11 +15,11 @@
 };
 use stakker_mio::Ready;
 
+use self::upstream::Token;
 use super::{
     border::{self, Heard},
     mesh::Mesh,
     metrics, settings, translate,
-    upstream::Token,
 };
 use crate::{
     link::{Id, Input, Table},
@@ -44,13 +46,13 @@
 
 /// A running sidecar.
 pub struct Sidecar {
-    pub(super) settings: settings::Sidecar,
-    pub(super) border: border::Sidecar,
-    pub(super) supervisor: Supervisor,
-    pub(super) client: Client<Token>,
+    settings: settings::Sidecar,
+    border: border::Sidecar,
+    supervisor: Supervisor,
+    client: Client<Token>,
     control: Server,
     metrics: Server,
-    pub(super) meter: metrics::Sidecar,
+    meter: metrics::Sidecar,
     links: Table,
     mesh: Mesh,
     peers: HashMap<Id, Peer>,
@@ -119,7 +121,7 @@
     }
 
     /// Present time at the start of an event.
-    pub(super) fn wake(&self) -> u64 {
+    fn wake(&self) -> u64 {
         super::now_us()
     }
 
@@ -308,7 +310,7 @@
     }
 
     /// Carries out what was decided, sends what is queued and sets the timer.
-    pub(super) fn settle(&mut self, cx: CX![], now_us: u64) {
+    fn settle(&mut self, cx: CX![], now_us: u64) {
         self.supervisor.tick(now_us);
         // Calls that fail at once lead to further effects.
         loop {
--- a/crates/node/src/runs/upstream.rs
+++ b/crates/node/src/runs/sidecar/upstream.rs
@@ -4,7 +4,7 @@
 use stakker::CX;
 use stakker_mio::Ready;
 
-use super::sidecar::Sidecar;
+use super::Sidecar;
 use crate::web::{client, Fault, Response};
 
 /// Time limit of a look, beyond the time that it waits at the upstream, in microseconds.
