--- /dev/null
+++ b/crates/node/tests/runs.rs
@@ -0,0 +1,106 @@
+//! The configuration and the contacts of the daemons for runs, and their settings.
+
+use std::net::SocketAddr;
+
+use kingcup_dispatch::routes::Table;
+use kingcup_node::{
+    runs::{
+        border::Stored,
+        document::{Call, Document},
+        mesh::Mesh,
+        settings::{Entry, Sidecar},
+    },
+    settings::Source,
+};
+use rstest::rstest;
+
+const ENTRY: &str = "[process]\nname = edge-a-1\nzone = a\nsecret = sixteen-bytes-or-more\n\
+    [listen]\ninternal = 10.0.0.1:7000\nmetrics = 10.0.0.1:9464\ncallers = 10.0.0.1:80\n\
+    ready = 10.0.0.1:81\ncontrol = 10.0.0.1:82\n[entries]\nseeds = 10.0.0.2:99,10.0.0.3\n\
+    [store]\naddress = 10.0.0.9:90\n";
+
+/// Guards against a version that goes back.
+#[test]
+fn an_older_configuration_is_never_put_into_force() {
+    let mut document = Document::default();
+    assert!(document.offer(Table::open(7, []), b"seven"));
+    assert!(!document.offer(Table::open(6, []), b"six"));
+    assert!(!document.offer(Table::open(7, []), b"other"));
+    assert_eq!((document.version(), document.text()), (7, b"seven".as_slice()));
+}
+
+/// Guards against calls that stop, or that come without a pause, when the store does not answer.
+#[test]
+fn the_store_is_asked_again_after_each_answer() {
+    let mut document = Document::default();
+    assert_eq!(document.next_call(0), Some(Call::Read));
+    assert_eq!(document.next_call(0), None);
+    let text = Stored::Text { text: b"t".to_vec(), revision: 5 };
+    assert_eq!(document.answered(text, 1), Some(b"t".to_vec()));
+    assert_eq!(document.next_call(1), Some(Call::Watch(5)));
+    document.answered(Stored::Failed("down".to_owned()), 2);
+    assert_eq!(document.next_call(3), None);
+    assert_eq!(document.next_call(1_000_000), Some(Call::Watch(5)));
+    document.answered(Stored::Compacted, 1_000_001);
+    assert_eq!(document.next_call(1_000_001), Some(Call::Read));
+}
+
+/// Guards against entries that are forgotten while they are named in the settings, and against a list
+/// that grows with each VM that was replaced.
+#[test]
+fn contacts_are_kept_as_long_as_they_are_of_use() {
+    let address = |last: u8| SocketAddr::from(([10, 0, 0, last], 7000));
+    let mut mesh = Mesh::open(address(1), &[address(1), address(2)], 0);
+    mesh.learn(address(3), 0);
+    assert_eq!(mesh.due(0), []);
+    assert_eq!(mesh.due(1_000_000), [address(2), address(3)]);
+    assert_eq!(mesh.due(60_000_000), [address(2)]);
+    mesh.set_seeds(&[address(4)], 60_000_000);
+    assert_eq!(mesh.due(120_000_000), [address(4)]);
+}
+
+/// Guards against settings that are misread or accepted although they are wrong.
+#[test]
+fn settings_are_read_and_checked() {
+    let read = |text: &str| Entry::read(Source::parse("entry.ini", text).expect("INI"));
+    let settings = read(ENTRY).expect("valid settings");
+    let seeds = ["10.0.0.2:7000", "10.0.0.3:7000"].map(|text| text.parse().expect("an address"));
+    assert_eq!(settings.process.entries, seeds);
+    assert_eq!(settings.process.address(), settings.process.internal);
+    for (from, to) in [
+        ("sixteen-bytes-or-more", "short"),
+        ("10.0.0.3", "nowhere"),
+        ("10.0.0.1:80\n", "80\n"),
+        ("[store]", "[stores]"),
+        ("zone = a", "zone = a\nzona = b"),
+    ] {
+        assert!(read(&ENTRY.replace(from, to)).is_err(), "{to}");
+    }
+}
+
+/// Guards against templates whose keys the daemons do not know.
+#[rstest]
+#[case::entry(include_str!("../../../deploy/entry.ini"), true)]
+#[case::sidecar(include_str!("../../../deploy/sidecar.ini"), false)]
+fn the_templates_of_the_deployment_are_valid(#[case] template: &str, #[case] entry: bool) {
+    let mut text = template.to_owned();
+    for (name, value) in [
+        ("{{node_name}}", "edge-a-1"),
+        ("{{zone}}", "a"),
+        ("{{ip}}", "10.0.0.1"),
+        ("{{port_range.0}}", "7000"),
+        ("{{listen_addrs.frontend}}", "10.0.0.1:80"),
+        ("{{listen_addrs.ready}}", "10.0.0.1:81"),
+        ("{{listen_addrs.control_plane}}", "10.0.0.1:82"),
+        ("{{seed_nodes}}", ""),
+        ("{{platform.address}}", "10.0.0.9:90"),
+        ("{{app}}", "10.0.0.1:83"),
+    ] {
+        text = text.replace(name, value);
+    }
+    let source = Source::parse("settings.ini", &text).expect("INI");
+    match entry {
+        true => Entry::read(source).map(drop).expect("valid settings"),
+        false => Sidecar::read(source).map(drop).expect("valid settings"),
+    }
+}
