Let late jobs run on while nobody else needs their room

Cause: a job was cut at three times the objective that its declared time gives, which is off by up to half; some would still have counted, and their callers were waiting (504 without need). It now gives way only when a job waits.

--- a/crates/dispatch/src/plan/job.rs
+++ b/crates/dispatch/src/plan/job.rs
@@ -24,6 +24,8 @@
 /// Part of its allowance for which a job waits that is too dear, in percent. The platform counts a refusal
 /// as late from a quarter of it, with the way to the caller and back.
 const SURPLUS_PERCENT: u64 = 8;
+/// Time for which a job that is too late to earn anything goes on at a time, in microseconds.
+const LATE_STEP_US: u64 = 50_000;
 /// Position of the class in a rank; times stay below it.
 const CLASS_SHIFT: u32 = 60;
 
@@ -277,11 +279,20 @@
         let waits = job.ending_us.is_none() && job.is_untouched();
         if waits && !job.overdue && job.surplus_us.is_none() && in_reach {
             self.overdue(key, now_us);
+        } else if !waits && job.ending_us.is_none() && now_us < job.timeout_us && !self.is_pressed()
+        {
+            // The caller still waits, and nobody else needs the room.
+            self.jobs[key].late_us = now_us + LATE_STEP_US;
         } else {
             self.give_up(key, now_us);
         }
     }
 
+    /// True if a job waits for room.
+    fn is_pressed(&self) -> bool {
+        !self.queue.is_empty()
+    }
+
     /// A job can no longer meet its objective. It stays only while no other job waits that can.
     fn overdue(&mut self, key: Key, now_us: u64) {
         self.jobs[key].overdue = true;
--- a/crates/dispatch/tests/plan.rs
+++ b/crates/dispatch/tests/plan.rs
@@ -99,7 +99,8 @@
     let (mut planner, _) = planner(1);
     planner.submit(submission("a", 1), NOW_US);
     let runs = starts(&mut planner);
-    let late_us = NOW_US + 3 * (320_000 + 60_000);
+    // The caller leaves no more time.
+    let late_us = NOW_US + 3_000_000;
     planner.tick(late_us);
     let stops = planner.drain();
     assert!(matches!(stops[..], [Effect::Stop { .. }]), "{stops:?}");
@@ -118,12 +119,32 @@
     let (mut planner, _) = planner(1);
     planner.submit(submission("a", 1), NOW_US);
     planner.drain();
-    let late_us = NOW_US + 3 * (320_000 + 60_000);
+    let late_us = NOW_US + 3_000_000;
     planner.tick(late_us);
     planner.tick(late_us + 30_000);
     assert_eq!(answers(&mut planner), [Answer::GaveUp]);
 }
 
+/// Guards against a job that is cut although its caller waits and nobody needs its room, and against one
+/// that keeps room from others when it is too late.
+#[rstest]
+#[case::alone(false)]
+#[case::others_wait(true)]
+fn a_job_that_is_late_gives_way_only_to_others(#[case] pressed: bool) {
+    let (mut planner, _) = planner(1);
+    planner.submit(submission("a", 2), NOW_US);
+    let runs = starts(&mut planner);
+    assert_eq!(runs.len(), 2);
+    let late_us = NOW_US + 3 * (320_000 + 60_000);
+    if pressed {
+        planner.submit(submission("b", 1), late_us - 1);
+    }
+    planner.tick(late_us);
+    let stops = planner.drain();
+    let stopped = stops.iter().any(|effect| matches!(effect, Effect::Stop { .. }));
+    assert_eq!(stopped, pressed, "{stops:?}");
+}
+
 /// Guards against a second run while the first may go on at a sidecar that cannot be reached.
 #[test]
 fn a_run_at_an_unreachable_sidecar_is_repeated_only_when_it_is_gone() {
