--- a/crates/proof/src/harness/port.rs
+++ b/crates/proof/src/harness/port.rs
@@ -24,6 +24,10 @@
     let mut taken = TAKEN.lock().unwrap_or_else(PoisonError::into_inner);
     for _ in 0..ATTEMPTS {
         let port = fastrand::u16(PORTS);
+        // A look at a port that was given out would keep its program from binding it for a moment.
+        if taken.contains(&port) {
+            continue;
+        }
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         let free = TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok();
         if free && taken.insert(port) {
