--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -222,9 +222,8 @@
     fn tick(&mut self, cx: CX![]) {
         let now_us = self.wake();
         for address in self.mesh.due(now_us) {
-            let link = self.links.dial(cx, address, now_us, Self::link_ready).ok();
-            self.mesh.dialled(address, link, now_us);
-            if let Some(link) = link {
+            let link = self.links.dial(cx, address, now_us, Self::link_ready);
+            if let Some(link) = self.mesh.dialled(address, link, now_us) {
                 self.peers.insert(link, Peer::Unknown);
                 self.greet(link);
             }
--- a/crates/node/src/runs/mesh.rs
+++ b/crates/node/src/runs/mesh.rs
@@ -1,6 +1,6 @@
 //! Connections to entries whose addresses are known from settings or from other entries.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, io, net::SocketAddr};
 
 use crate::link::Id;
 
@@ -80,12 +80,27 @@
     }
 
     /// A connection is being opened.
-    pub fn dialled(&mut self, address: SocketAddr, link: Option<Id>, now_us: u64) {
+    ///
+    /// Without a link, which the kernel then refused, the next attempt follows as after any other.
+    pub fn dialled(
+        &mut self,
+        address: SocketAddr,
+        link: io::Result<Id>,
+        now_us: u64,
+    ) -> Option<Id> {
+        let link = match link {
+            Ok(link) => Some(link),
+            Err(error) => {
+                log::warn!("event=dial_failed address={address} error={error:?}");
+                None
+            }
+        };
         if let Some(contact) = self.contacts.get_mut(&address) {
             contact.link = link;
             contact.greeted = false;
             contact.dialled_us = now_us;
         }
+        link
     }
 
     /// The other side has greeted.
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -129,9 +129,8 @@
         let now_us = self.wake();
         self.expire_calls(now_us);
         for address in self.mesh.due(now_us) {
-            let link = self.links.dial(cx, address, now_us, Self::link_ready).ok();
-            self.mesh.dialled(address, link, now_us);
-            if let Some(link) = link {
+            let link = self.links.dial(cx, address, now_us, Self::link_ready);
+            if let Some(link) = self.mesh.dialled(address, link, now_us) {
                 self.greet(link);
             }
         }
