Spread the times after which refused callers may return

Cause: the generator was cloned for each refusal, so all refusals of an entry named the same time. The test fails without the fix.

--- a/crates/dispatch/src/plan/job.rs
+++ b/crates/dispatch/src/plan/job.rs
@@ -236,8 +236,9 @@
         key
     }
 
-    pub(super) fn retry_ms(&self) -> u64 {
-        RETRY_MS.0 + (self.random.clone().f64() * (RETRY_MS.1 - RETRY_MS.0) as f64) as u64
+    /// Time after which a refused caller may return, spread so that they do not return at once.
+    fn retry_ms(&mut self) -> u64 {
+        self.random.u64(RETRY_MS.0..=RETRY_MS.1)
     }
 
     /// Puts a job into the queue, or moves it to its present rank.
--- a/crates/dispatch/tests/plan.rs
+++ b/crates/dispatch/tests/plan.rs
@@ -278,6 +278,26 @@
     assert!(matches!(answers[..], [Answer::NotRun { .. }]), "{answers:?}");
 }
 
+/// Guards against refused callers that all return at once.
+#[test]
+fn refused_callers_are_told_different_times() {
+    let mut planner = Planner::open(1);
+    planner.wake(NOW_US);
+    for id in ["a", "b", "c", "d"] {
+        planner.submit(submission(id, 1), NOW_US + 600_000);
+    }
+    let mut times: Vec<u64> = answers(&mut planner)
+        .into_iter()
+        .filter_map(|answer| match answer {
+            Answer::NotRun { retry_ms } => Some(retry_ms),
+            _ => None,
+        })
+        .collect();
+    times.sort_unstable();
+    times.dedup();
+    assert_eq!(times.len(), 4, "{times:?}");
+}
+
 /// Guards against a job that waits although no worker can take it.
 #[test]
 fn a_job_without_workers_is_refused_at_once() {
