Start programs of tests only while no port is being tried

Between fork and exec a child holds copies of all descriptors of the test. If that falls into the look whether a port is free, the listener of that look stays open until the child executes its program, after the port was given out. Ruled out: ports given out twice (one table a process), outgoing connections (the range lies below theirs). Conclusion: programs are started under the lock of the table of ports.

--- a/crates/proof/src/harness/port.rs
+++ b/crates/proof/src/harness/port.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeSet,
     net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
 };
 
 use super::{Fault, Result};
@@ -21,7 +21,7 @@
 ///
 /// If no port is found.
 pub fn find() -> Result<SocketAddr> {
-    let mut taken = TAKEN.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut taken = lock();
     for _ in 0..ATTEMPTS {
         let port = fastrand::u16(PORTS);
         // A look at a port that was given out would keep its program from binding it for a moment.
@@ -36,3 +36,14 @@
     }
     Err(Fault::Unexpected("no free port".to_owned()))
 }
+
+/// Starts a program while no port is being tried. Between `fork` and `exec` a child holds copies of all
+/// descriptors, so a listener that tried a port would stay open after `find` has returned the port.
+pub(super) fn without_trials<T>(start: impl FnOnce() -> T) -> T {
+    let _taken = lock();
+    start()
+}
+
+fn lock() -> MutexGuard<'static, BTreeSet<u16>> {
+    TAKEN.lock().unwrap_or_else(PoisonError::into_inner)
+}
