Refuse by the deadline only on a rate that is known

Before the first ends of a kind the rate rests on an assumed run time of 300 ms; once a backlog is older than a second it is the rate over 3 s, of which the time before the backlog counts as time without starts. Ruled out: too few slots (16 for tasks of 1 to 80 ms). Both new tests failed before. Conclusion: floods are judged as before; the start of a rush is no longer refused.

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -24,6 +24,8 @@
     pub free: u32,
     /// Starts a second that the kind can count on at this entry.
     pub rate: f32,
+    /// False while the rate rests on a run time that is assumed.
+    pub rate_known: bool,
     /// Longest time from acceptance to start, in milliseconds.
     pub deadline_ms: u32,
 }
@@ -62,7 +64,8 @@
             return Verdict::Refuse { code: Code::QueueFull, after_ms };
         }
         let limit_ms = self.deadline_ms as f32 * DEADLINE_PART;
-        if wait_ms > limit_ms {
+        // A refusal has to rest on what is known; the bound on waiting tasks holds all the same.
+        if self.rate_known && wait_ms > limit_ms {
             let after_ms = wait_ms - limit_ms;
             return Verdict::Refuse { code: Code::DeadlineUnreachable, after_ms };
         }
--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -46,8 +46,21 @@
     retired: bool,
     run: Runs,
     starts: Rate,
-    /// Since when tasks of the kind have been waiting without interruption.
-    backlog_us: Option<u64>,
+    backlog: Option<Backlog>,
+}
+
+/// Tasks of a kind that have been waiting without interruption.
+#[derive(Debug, Clone, Copy)]
+struct Backlog {
+    since_us: u64,
+    /// Starts since then.
+    starts: Rate,
+}
+
+impl Backlog {
+    fn age_us(&self, now_us: u64) -> u64 {
+        now_us.saturating_sub(self.since_us)
+    }
 }
 
 /// Numbers for metrics and for tests.
@@ -272,14 +285,15 @@
 
     fn add_waiting(&mut self, class: usize, count: u32, now_us: u64) {
         self.queue.classes[class].waiting += count;
-        self.kinds[class].backlog_us.get_or_insert(now_us);
+        let backlog = &mut self.kinds[class].backlog;
+        backlog.get_or_insert(Backlog { since_us: now_us, starts: Rate::default() });
     }
 
     fn remove_waiting(&mut self, class: usize, count: u32) {
         let class_use = &mut self.queue.classes[class];
         class_use.waiting -= count;
         if class_use.waiting == 0 {
-            self.kinds[class].backlog_us = None;
+            self.kinds[class].backlog = None;
         }
     }
 }
@@ -294,7 +308,7 @@
             retired: false,
             run: Runs::default(),
             starts: Rate::default(),
-            backlog_us: None,
+            backlog: None,
         }
     }
 }
--- a/crates/dispatch/src/engine/admit.rs
+++ b/crates/dispatch/src/engine/admit.rs
@@ -95,6 +95,7 @@
             max_waiting: self.kinds[class].max_waiting,
             free: self.usable_free(class),
             rate: self.rate(class, band(submission.declared_ms), now_us),
+            rate_known: self.kinds[class].run.is_learned(),
             deadline_ms: self.kinds[class].deadline_ms,
         };
         match demand.judge() {
@@ -119,20 +120,16 @@
     }
 
     /// Starts a second that a kind can count on here. Once it has been waiting for a while, this is
-    /// the measured rate; before, its share and free slots may
-    /// give it more than it has used.
+    /// the measured rate; before, its share and free slots may give it more than it has used.
     pub(super) fn rate(&self, class: usize, band: u8, now_us: u64) -> f32 {
         let kind = &self.kinds[class];
-        let measured = kind.starts.per_second(now_us);
-        let backlogged =
-            kind.backlog_us.is_some_and(|since_us| now_us.saturating_sub(since_us) > BACKLOG_US);
-        if backlogged {
-            return measured;
+        if let Some(backlog) = kind.backlog.filter(|backlog| backlog.age_us(now_us) > BACKLOG_US) {
+            return backlog.starts.per_second_since(backlog.since_us, now_us);
         }
         let share = f32::from(self.queue.classes[class].share_percent.max(1)) / 100.0;
         let lent = self.queue.classes[class].own + self.usable_free(class);
         let slots = (share * self.fleet.slots() as f32).max(lent as f32);
         let run_us = kind.run.mean_us(band).max(1);
-        measured.max(slots * 1_000_000.0 / run_us as f32)
+        kind.starts.per_second(now_us).max(slots * 1_000_000.0 / run_us as f32)
     }
 }
--- a/crates/dispatch/src/engine/place.rs
+++ b/crates/dispatch/src/engine/place.rs
@@ -83,7 +83,11 @@
         let payload = row.tasks[usize::from(task)].bytes.clone();
         let cost_us = self.kinds[class].run.all.mean_us();
         self.queue.charge(class, cost_us);
-        self.kinds[class].starts.record(now_us);
+        let kind = &mut self.kinds[class];
+        kind.starts.record(now_us);
+        if let Some(backlog) = &mut kind.backlog {
+            backlog.starts.record(now_us);
+        }
         let upstream = choice.upstream;
         let fleet_free = self.fleet.free();
         let flight = Flight {
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -11,8 +11,8 @@
 /// Upper end of the lowest group of declared run times, in milliseconds; each is four times as wide
 /// as the one before.
 const LOWEST_BAND_MS: u32 = 16;
-/// Runs after which a group's own estimate is used.
-const BAND_RUNS: u32 = 16;
+/// Runs after which an estimate is used, of a kind or of a group's own.
+const LEARNED_RUNS: u32 = 16;
 /// Time constant of a rate, in microseconds. Over 1 s, rates of about 30 a second vary by a fifth.
 const RATE_US: f32 = 3_000_000.0;
 
@@ -75,10 +75,15 @@
         self.bands[usize::from(band)].record(run_us);
     }
 
+    /// True once enough runs have ended to tell how long others take.
+    pub fn is_learned(&self) -> bool {
+        self.all.runs >= LEARNED_RUNS
+    }
+
     /// Mean run time of a group in microseconds; of the kind until the group has had enough runs.
     pub fn mean_us(&self, band: u8) -> u32 {
         let band = &self.bands[usize::from(band)];
-        if band.runs < BAND_RUNS {
+        if band.runs < LEARNED_RUNS {
             return self.all.mean_us();
         }
         band.mean_us()
@@ -104,6 +109,13 @@
         self.decayed(now_us) * 1_000_000.0 / RATE_US
     }
 
+    /// Events a second since a time from which all were counted. Without this the time before it would
+    /// count as time without events.
+    pub fn per_second_since(&self, since_us: u64, now_us: u64) -> f32 {
+        let age_us = now_us.saturating_sub(since_us).max(1) as f32;
+        self.per_second(now_us) / (1.0 - (-age_us / RATE_US).exp())
+    }
+
     fn decayed(&self, now_us: u64) -> f32 {
         let age_us = now_us.saturating_sub(self.at_us) as f32;
         self.count * (-age_us / RATE_US).exp()
--- a/crates/dispatch/tests/engine.rs
+++ b/crates/dispatch/tests/engine.rs
@@ -79,6 +79,42 @@
     assert_eq!(engine.census().jobs, 0);
 }
 
+/// Guards against refusals that rest on the run time assumed before the first ends of a kind: at 300 ms a
+/// task, 6 waiting tasks on 2 slots would take 0.9 s of a deadline of 1 s.
+#[test]
+fn a_guessed_run_time_refuses_no_job() {
+    let mut engine = engine(1);
+    connect(&mut engine, &["u"], 2);
+    let input = payloads(8);
+    assert!(engine.submit(&job("retraction", &input), 0).is_ok());
+}
+
+/// Guards against refusals that rest on a rate averaged over the idle time before a rush: at 20 starts a
+/// second, 10 waiting tasks take 0.5 s of a deadline of 1 s.
+#[test]
+fn a_new_backlog_is_judged_by_the_rate_since_it_began() {
+    const END_US: u64 = 100_000;
+    let mut engine = engine(1);
+    connect(&mut engine, &["u"], 2);
+    let mut now_us = 1_000_000;
+    let batch = payloads(4);
+    for _ in 0..3 {
+        engine.submit(&job("retraction", &batch), now_us).expect("accepted");
+    }
+    let mut sent: VecDeque<Start> = starts(&std::mem::take(engine.actions())).into();
+    let next = payloads(1);
+    for end in 0..24 {
+        let start = sent.pop_front().expect("two tasks run");
+        if end % 2 == 0 {
+            now_us += END_US;
+        }
+        engine.finish(start.upstream, &finish(start.sequence, End::Done), now_us);
+        sent.extend(starts(&std::mem::take(engine.actions())));
+        let taken = engine.submit(&job("retraction", &next), now_us);
+        assert!(taken.is_ok(), "refused after {end} ends: {taken:?}");
+    }
+}
+
 /// Guards against a failed job whose other tasks go on waiting or running.
 #[test]
 fn a_failed_task_fails_its_job_and_recalls_the_rest() {
