--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -125,14 +125,19 @@
         }
         let suspended = !first && slept_us > SUSPENDED_US;
         if suspended {
-            let jobs: Vec<Job> = self.jobs.keys().collect();
-            for job in jobs {
-                self.give_up(job, now_us);
-            }
+            self.give_up_all(now_us);
         }
         suspended
     }
 
+    /// Gives up all jobs: their answers follow once it is known whether they ran.
+    pub fn give_up_all(&mut self, now_us: u64) {
+        let jobs: Vec<Job> = self.jobs.keys().collect();
+        for job in jobs {
+            self.give_up(job, now_us);
+        }
+    }
+
     /// Number of entries that share the workers, this one included.
     pub fn set_entries(&mut self, entries: usize) {
         self.entries = entries.max(1) as u64;
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -118,6 +118,8 @@
     peers_due_us: u64,
     announce_due_us: Option<u64>,
     stopping_us: Option<u64>,
+    /// The time to stop is nearly over, and all jobs were given up.
+    closing: bool,
     _signals: ChannelGuard,
 }
 
@@ -186,6 +188,7 @@
             peers_due_us: now_us,
             announce_due_us: None,
             stopping_us: None,
+            closing: false,
             settings,
             border,
             _signals: signals,
@@ -248,6 +251,7 @@
 
     /// Carries out what was decided, sends what is queued and sets the timer.
     fn settle(&mut self, cx: CX![], now_us: u64) {
+        self.close_jobs(now_us);
         // An answer can be followed by the caller's next request.
         loop {
             let effects = self.planner.drain();
@@ -364,6 +368,16 @@
         self.settle(cx, now_us);
     }
 
+    /// Gives up all jobs shortly before the time to stop is over, so that each caller gets an answer
+    /// instead of a closed connection.
+    fn close_jobs(&mut self, now_us: u64) {
+        let due = self.stop_by_us().is_some_and(|by_us| now_us + STOP_MARGIN_US >= by_us);
+        if due && !std::mem::replace(&mut self.closing, true) {
+            log::info!("event=stop_due jobs={}", self.planner.unanswered());
+            self.planner.give_up_all(now_us);
+        }
+    }
+
     fn stop_if_idle(&mut self, cx: CX![], now_us: u64) -> bool {
         let (Some(at), Some(stop_by_us)) = (self.stopping_us, self.stop_by_us()) else {
             return false;
