--- a/crates/dispatch/src/engine.rs
+++ b/crates/dispatch/src/engine.rs
@@ -55,12 +55,7 @@
     since_us: u64,
     /// Starts since then.
     starts: Rate,
-}
-
-impl Backlog {
-    fn age_us(&self, now_us: u64) -> u64 {
-        now_us.saturating_sub(self.since_us)
-    }
+    count: u32,
 }
 
 /// Numbers for metrics and for tests.
@@ -286,7 +281,7 @@
     fn add_waiting(&mut self, class: usize, count: u32, now_us: u64) {
         self.queue.classes[class].waiting += count;
         let backlog = &mut self.kinds[class].backlog;
-        backlog.get_or_insert(Backlog { since_us: now_us, starts: Rate::default() });
+        backlog.get_or_insert(Backlog { since_us: now_us, starts: Rate::default(), count: 0 });
     }
 
     fn remove_waiting(&mut self, class: usize, count: u32) {
--- a/crates/dispatch/src/engine/admit.rs
+++ b/crates/dispatch/src/engine/admit.rs
@@ -13,6 +13,10 @@
 const MEMBERSHIP_US: u64 = 5_000_000;
 /// A kind with waiting tasks for this long is served at its measured rate, in microseconds.
 const BACKLOG_US: u64 = 1_000_000;
+/// Starts from which that rate is known within a quarter.
+const BACKLOG_STARTS: u32 = 16;
+/// A backlog of this age has a low rate, not a rate that is not known yet, in microseconds.
+const SLOW_BACKLOG_US: u64 = 3_000_000;
 /// Retry hint while there is no upstream or no document, in milliseconds.
 const ABSENT_RETRY_MS: f32 = 1_000.0;
 
@@ -123,7 +127,12 @@
     /// the measured rate; before, its share and free slots may give it more than it has used.
     pub(super) fn rate(&self, class: usize, band: u8, now_us: u64) -> f32 {
         let kind = &self.kinds[class];
-        if let Some(backlog) = kind.backlog.filter(|backlog| backlog.age_us(now_us) > BACKLOG_US) {
+        let measured = kind.backlog.filter(|backlog| {
+            let age_us = now_us.saturating_sub(backlog.since_us);
+            let enough = backlog.count >= BACKLOG_STARTS || age_us > SLOW_BACKLOG_US;
+            age_us > BACKLOG_US && enough
+        });
+        if let Some(backlog) = measured {
             return backlog.starts.per_second_since(backlog.since_us, now_us);
         }
         let share = f32::from(self.queue.classes[class].share_percent.max(1)) / 100.0;
--- a/crates/dispatch/src/engine/place.rs
+++ b/crates/dispatch/src/engine/place.rs
@@ -87,6 +87,7 @@
         kind.starts.record(now_us);
         if let Some(backlog) = &mut kind.backlog {
             backlog.starts.record(now_us);
+            backlog.count += 1;
         }
         let upstream = choice.upstream;
         let fleet_free = self.fleet.free();
--- a/crates/dispatch/tests/engine.rs
+++ b/crates/dispatch/tests/engine.rs
@@ -115,6 +115,34 @@
     }
 }
 
+/// Guards against refusals with a return time of 30 s by an entry that got no slot for a second because
+/// another entry was faster: a rate of no starts says little.
+#[test]
+fn an_entry_that_got_no_slot_for_a_second_still_accepts() {
+    let mut engine = engine(1);
+    connect(&mut engine, &["u"], 2);
+    let one = payloads(1);
+    let half_taken = Load { revision: 2, running: &[1, 0], queued: 0, window: 2 };
+    for run in 0..20 {
+        let now_us = run * 100_000;
+        engine.submit(&job("retraction", &one), now_us).expect("accepted");
+        let start = starts(&std::mem::take(engine.actions())).remove(0);
+        let mut finish = finish(start.sequence, End::Done);
+        if run == 19 {
+            finish.load = half_taken;
+        }
+        engine.finish(start.upstream, &finish, now_us + 100_000);
+        engine.actions().clear();
+    }
+    engine.submit(&job("retraction", &one), 2_050_000).expect("accepted");
+    assert_eq!(starts(&std::mem::take(engine.actions())).len(), 1, "the kind's own slot is used");
+    for now_us in [2_100_000, 3_300_000] {
+        let taken = engine.submit(&job("retraction", &one), now_us);
+        assert!(taken.is_ok(), "refused at {now_us}: {taken:?}");
+        assert!(starts(&std::mem::take(engine.actions())).is_empty(), "no slot is free");
+    }
+}
+
 /// Guards against a failed job whose other tasks go on waiting or running.
 #[test]
 fn a_failed_task_fails_its_job_and_recalls_the_rest() {
