Tell of returned entries at once and try lost ones at a steady pace

Ruled out: the start of the processes (0.05 to 0.4 s), the store (15 ms), the upstreams (they report at once). Now a contact between entries is passed on after 30 ms, a sidecar that connects gets the list at once, attempts go on every 150 ms for 4 s, and connections that were accepted are waited for. Tests (steady pace, accepted connections, told by others) use no network.

--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -33,6 +33,9 @@
 const ENTRY_SILENT_US: u64 = 3_500_000;
 /// Time between two lists of entries to each process, in microseconds.
 const PEERS_INTERVAL_US: u64 = 1_000_000;
+/// Time from the contact with an entry until all processes are told of it, in microseconds: after an
+/// outage, entries come back together.
+const PEERS_DELAY_US: u64 = 30_000;
 /// Time from a new configuration until other entries are told of it, in microseconds. All read it from
 /// the store; those that cannot must have it well within the two seconds that the platform allows.
 const ANNOUNCE_US: u64 = 200_000;
@@ -267,6 +270,7 @@
             return;
         }
         let due = self.planner.next_tick().min(self.client.next_deadline());
+        let due = due.min(self.mesh.next_due(now_us)).min(self.peers_due_us);
         let sleep = due.saturating_sub(now_us).clamp(1_000, MAX_SLEEP_US);
         let at = cx.now() + Duration::from_micros(sleep);
         timer_min!(&mut self.timer, at, [cx], tick());
--- a/crates/node/src/runs/entry/links.rs
+++ b/crates/node/src/runs/entry/links.rs
@@ -9,7 +9,7 @@
 use stakker::CX;
 use stakker_mio::Ready;
 
-use super::{Entry, Peer, ENTRY_SILENT_US, RENEW_US, SILENT_US};
+use super::{Entry, Peer, ENTRY_SILENT_US, PEERS_DELAY_US, RENEW_US, SILENT_US};
 use crate::{
     link::{Id, Input},
     runs::translate,
@@ -28,10 +28,15 @@
         self.links.send(link, &Frame::Run(Message::Greeting(greeting)));
     }
 
-    pub(super) fn send_peers(&mut self) {
+    /// List of the entries that are reached, this one included.
+    fn peers(&self) -> Frame<'static> {
         let mut known: Vec<SocketAddr> = self.mesh.reached().collect();
         known.push(self.settings.process.address());
-        let frame = Frame::Run(Message::Peers(known));
+        Frame::Run(Message::Peers(known))
+    }
+
+    pub(super) fn send_peers(&mut self) {
+        let frame = self.peers();
         for (link, peer) in &self.peers {
             if !matches!(peer, Peer::Unknown) {
                 self.links.send(*link, &frame);
@@ -102,6 +107,9 @@
             self.close(link, "write", now_us);
             return self.settle(cx, now_us);
         }
+        if ready.is_writable() {
+            self.mesh.established(link);
+        }
         let Some(mut input) = self.links.read(link, now_us) else { return };
         let sound = self.messages(link, &mut input, now_us);
         match self.links.put_back(link, input) {
@@ -199,16 +207,23 @@
             greeting.config
         );
         let peer = match greeting.role {
-            Role::Sidecar => Peer::Sidecar {
-                name,
-                incarnation: greeting.incarnation,
-                generation: greeting.generation,
-                worker: None,
-                grant: 0,
-                renewed_us: 0,
-            },
+            Role::Sidecar => {
+                // It may have reached only one of the entries in its settings.
+                let frame = self.peers();
+                self.links.send(link, &frame);
+                Peer::Sidecar {
+                    name,
+                    incarnation: greeting.incarnation,
+                    generation: greeting.generation,
+                    worker: None,
+                    grant: 0,
+                    renewed_us: 0,
+                }
+            }
             Role::Entry => {
-                self.mesh.greeted(link, now_us);
+                if self.mesh.greeted(link, now_us) {
+                    self.peers_due_us = self.peers_due_us.min(now_us + PEERS_DELAY_US);
+                }
                 self.mesh.learn(greeting.address, now_us);
                 if greeting.config > self.document.version() {
                     self.links.send(link, &Frame::Run(Message::Fetch));
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -181,6 +181,9 @@
             self.close(link, "write", now_us);
             return self.settle(cx, now_us);
         }
+        if ready.is_writable() {
+            self.mesh.established(link);
+        }
         let Some(mut input) = self.links.read(link, now_us) else { return };
         let sound = self.messages(link, &mut input, now_us);
         match self.links.put_back(link, input) {
@@ -326,6 +329,7 @@
             return;
         }
         let due = self.supervisor.next_tick(now_us).min(self.client.next_deadline());
+        let due = due.min(self.mesh.next_due(now_us));
         let sleep = due.saturating_sub(now_us).clamp(1_000, MAX_SLEEP_US);
         let at = cx.now() + Duration::from_micros(sleep);
         timer_min!(&mut self.timer, at, [cx], tick());
--- a/crates/node/tests/runs.rs
+++ b/crates/node/tests/runs.rs
@@ -4,6 +4,7 @@
 
 use kingcup_dispatch::routes::Table;
 use kingcup_node::{
+    link::Id,
     runs::{
         border::Stored,
         document::{Call, Document},
@@ -13,6 +14,7 @@
     settings::Source,
 };
 use rstest::rstest;
+use slotmap::KeyData;
 
 const ENTRY: &str = "[process]\nname = edge-a-1\nzone = a\nsecret = sixteen-bytes-or-more\n\
     [listen]\ninternal = 10.0.0.1:7000\nmetrics = 10.0.0.1:9464\ncallers = 10.0.0.1:80\n\
@@ -59,6 +61,60 @@
     assert_eq!(mesh.due(120_000_000), [address(4)]);
 }
 
+fn link(number: u64) -> Id {
+    Id::from(KeyData::from_ffi(1 << 32 | number))
+}
+
+/// Guards against seconds without contact after an outage of all: the first attempts meet VMs that are
+/// still off, and a pause that doubles with each of them outlasts the outage.
+#[test]
+fn an_entry_that_was_lost_lately_is_tried_at_a_steady_pace() {
+    let address = SocketAddr::from(([10, 0, 0, 2], 7000));
+    let start_us = 50_000_000;
+    let mut mesh = Mesh::open(SocketAddr::from(([10, 0, 0, 1], 7000)), &[address], start_us);
+    let mut attempts = 0;
+    for now_us in (start_us..start_us + 1_500_000).step_by(10_000) {
+        for link in mesh.silent(now_us) {
+            mesh.closed(link, now_us);
+        }
+        for address in mesh.due(now_us) {
+            mesh.dialled(address, Ok(link(attempts)), now_us);
+            attempts += 1;
+        }
+    }
+    assert!(attempts >= 9, "{attempts} attempts in 1.5 s");
+}
+
+/// Guards against connections that are given up while a slow entry is about to greet.
+#[test]
+fn an_established_connection_is_waited_for() {
+    let address = SocketAddr::from(([10, 0, 0, 2], 7000));
+    let mut mesh = Mesh::open(SocketAddr::from(([10, 0, 0, 1], 7000)), &[address], 0);
+    mesh.dialled(address, Ok(link(1)), 0);
+    mesh.established(link(1));
+    assert_eq!(mesh.silent(1_000_000), []);
+    assert_eq!(mesh.silent(2_000_000), [link(1)]);
+}
+
+/// Guards against a returned entry that waits for the pause of an earlier failure, although another
+/// entry tells that it is there.
+#[test]
+fn an_entry_that_others_reach_is_tried_at_once() {
+    let address = SocketAddr::from(([10, 0, 0, 2], 7000));
+    let mut mesh = Mesh::open(SocketAddr::from(([10, 0, 0, 1], 7000)), &[address], 0);
+    let mut now_us = 0;
+    for number in 0..40 {
+        mesh.dialled(address, Ok(link(number)), now_us);
+        now_us += 1_000_000;
+        mesh.closed(link(number), now_us);
+    }
+    mesh.dialled(address, Ok(link(99)), now_us);
+    assert_eq!(mesh.silent(now_us + 200_000), []);
+    mesh.learn(address, now_us + 200_000);
+    assert_eq!(mesh.silent(now_us + 200_000), [link(99)]);
+    assert!(mesh.next_due(now_us) <= now_us + 200_000);
+}
+
 /// Guards against settings that are misread or accepted although they are wrong.
 #[test]
 fn settings_are_read_and_checked() {
