Let urgent tasks wait at full workers ahead of what is less urgent

Only sidecars see all entries, and order what waits by urgency. One urgent task may wait at each full worker, for 80 ms.

--- a/crates/bench/src/runs/world.rs
+++ b/crates/bench/src/runs/world.rs
@@ -353,8 +353,8 @@
         let effects = self.entries[entry].planner.drain();
         for effect in effects {
             match effect {
-                plan::Effect::Start { worker, job, task, run, attempt, slack_us } => {
-                    self.send_start(entry, worker, job, task, run, attempt, slack_us);
+                plan::Effect::Start { worker, job, task, run, attempt, slack_us, wait_us } => {
+                    self.send_start(entry, worker, job, task, run, attempt, (slack_us, wait_us));
                 }
                 plan::Effect::Stop { worker, run } => {
                     let node = &self.entries[entry];
@@ -386,7 +386,7 @@
         task: u16,
         run: u64,
         attempt: u32,
-        slack_us: u64,
+        (slack_us, wait_us): (u64, u64),
     ) {
         let node = &mut self.entries[entry];
         let Some(sidecar) = node.workers.iter().position(|key| *key == worker) else { return };
@@ -402,7 +402,7 @@
             memory_mb: submission.memory_mb,
             grant: node.grants[sidecar],
             slack_us,
-            wait_us: plan::SIDECAR_WAIT_US,
+            wait_us,
         };
         let at_us = self.arrives_us(entry, sidecar);
         self.push(at_us, Event::Sidecar(entry, sidecar, ToSidecar::Start(start)));
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -34,6 +34,9 @@
 /// Longest wait of a start at a sidecar, in microseconds. It covers a race of several entries for the
 /// same room; beyond it the entry knows better.
 pub const SIDECAR_WAIT_US: u64 = 5_000;
+/// Longest wait of an urgent start at a sidecar that is full, in microseconds: the time in which one of
+/// some ten tasks of a few tenths of a second is likely to end, within the slack of an urgent job.
+pub const URGENT_WAIT_US: u64 = 80_000;
 /// Time after which a job that cannot be done in time is too late to earn anything, as a multiple of
 /// its objective; from the platform's rules.
 const LATE_FACTOR: u64 = 3;
--- a/crates/dispatch/src/plan/action.rs
+++ b/crates/dispatch/src/plan/action.rs
@@ -19,6 +19,8 @@
         attempt: u32,
         /// Time until the latest start that meets the objective, in microseconds.
         slack_us: u64,
+        /// Longest wait for room at the sidecar, in microseconds.
+        wait_us: u64,
     },
     /// Ask a sidecar to stop a run or never to start it.
     Stop {
--- a/crates/dispatch/src/plan/job.rs
+++ b/crates/dispatch/src/plan/job.rs
@@ -128,6 +128,11 @@
         f64::from(self.submission.cores) * self.work_us as f64 * self.tasks.len() as f64
     }
 
+    /// True if its tasks may wait at full workers, ahead of what is less urgent.
+    pub fn is_urgent(&self) -> bool {
+        self.submission.priority == 0 && !self.overdue && self.surplus_us.is_none()
+    }
+
     /// Order in the queue, less first: what has begun, what is most urgent, then by arrival. What can no
     /// longer meet its objective comes last.
     pub fn rank(&self) -> u64 {
--- a/crates/dispatch/src/plan/place.rs
+++ b/crates/dispatch/src/plan/place.rs
@@ -6,13 +6,15 @@
     action::Effect,
     job::Task,
     worker::{Member, Worker},
-    Job, Place, Planner, Sent,
+    Job, Place, Planner, Sent, SIDECAR_WAIT_US, URGENT_WAIT_US,
 };
 
 /// Where a task can go now.
 enum Choice {
     /// To this worker.
     Worker(Worker),
+    /// To this worker, which has no room, to wait there ahead of what is less urgent.
+    Ahead(Worker),
     /// There is room, but not at a worker that suits the job.
     Unsuitable,
     /// No worker has room.
@@ -53,7 +55,8 @@
                 continue;
             }
             match self.choose(key, task, now_us) {
-                Choice::Worker(worker) => self.send(key, task, worker, now_us),
+                Choice::Worker(worker) => self.send(key, task, worker, SIDECAR_WAIT_US, now_us),
+                Choice::Ahead(worker) => self.send(key, task, worker, URGENT_WAIT_US, now_us),
                 other => {
                     last = Some(other);
                     break;
@@ -104,13 +107,23 @@
             }
         }
         match best {
-            Some((_, worker)) => Choice::Worker(worker),
-            None if full => Choice::Full,
-            None => Choice::Unsuitable,
+            Some((_, worker)) => return Choice::Worker(worker),
+            None if !full => return Choice::Unsuitable,
+            None => {}
         }
+        if !job.is_urgent() {
+            return Choice::Full;
+        }
+        let ahead = self.workers.iter().filter(|(worker, member)| {
+            *member.profile.service == *submission.service
+                && member.takes_ahead(now_us)
+                && suits(*worker, member)
+        });
+        let freest = ahead.max_by_key(|(_, member)| member.free_cores());
+        freest.map_or(Choice::Full, |(worker, _)| Choice::Ahead(worker))
     }
 
-    fn send(&mut self, key: Job, task: usize, worker: Worker, now_us: u64) {
+    fn send(&mut self, key: Job, task: usize, worker: Worker, wait_us: u64, now_us: u64) {
         let run = self.next_run;
         self.next_run += 1;
         let job = &mut self.jobs[key];
@@ -124,7 +137,9 @@
         let place = Place { job: key, task: index };
         self.runs.insert(run, Sent { place, worker, moving: false, measured: false });
         self.workers[worker].sent(run, cores, memory_mb, now_us);
-        self.effects.push(Effect::Start { worker, job: key, task: index, run, attempt, slack_us });
+        let start =
+            Effect::Start { worker, job: key, task: index, run, attempt, slack_us, wait_us };
+        self.effects.push(start);
     }
 }
 
--- a/crates/dispatch/src/plan/worker.rs
+++ b/crates/dispatch/src/plan/worker.rs
@@ -83,6 +83,12 @@
             && self.free_memory_mb() >= i64::from(memory_mb)
     }
 
+    /// True if nothing is known to wait there and an urgent task may, for room.
+    pub fn takes_ahead(&self, now_us: u64) -> bool {
+        let open = self.connected && self.profile.ready && now_us >= self.avoid_until_us;
+        open && !self.is_failing() && self.free_cores() >= 0
+    }
+
     /// True if nearly all that it starts fails.
     pub fn is_failing(&self) -> bool {
         self.failures >= FAILING_SHARE
--- a/crates/dispatch/tests/plan.rs
+++ b/crates/dispatch/tests/plan.rs
@@ -326,3 +326,16 @@
     assert!(matches!(answers[..], [Answer::NotRun { .. }]), "{answers:?}");
     assert!(now_us < NOW_US + 3 * 380_000);
 }
+
+/// A rush beyond the room: guards against room that is freed at one worker and taken by whoever is told
+/// first, while an urgent job waits at another entry.
+#[rstest]
+#[case::urgent(0, 1)]
+#[case::less_urgent(1, 0)]
+fn in_a_rush_an_urgent_task_waits_at_a_full_worker(#[case] priority: u32, #[case] sent: usize) {
+    let (mut planner, workers) = planner(1);
+    let full = Load { seen: 0, free_cores: 1_000, free_memory_mb: 500 };
+    planner.load(workers[0], full, NOW_US);
+    planner.submit(Submission { priority, ..submission("job", 2) }, NOW_US);
+    assert_eq!(starts(&mut planner).len(), sent, "one task waits there at a time");
+}
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -6,9 +6,7 @@
 
 use std::{collections::HashMap, io, sync::Arc, time::Duration};
 
-use kingcup_dispatch::plan::{
-    Effect, Job, Planner, Submission, Worker, MAX_SLEEP_US, SIDECAR_WAIT_US,
-};
+use kingcup_dispatch::plan::{Effect, Job, Planner, Submission, Worker, MAX_SLEEP_US};
 use kingcup_wire::{
     run::{self, Message},
     Frame, Key,
@@ -277,17 +275,18 @@
     }
 
     fn carry_out(&mut self, effects: Vec<Effect>, now_us: u64) {
-        let mut starts: Vec<(Worker, Job, u64, Vec<run::Task>)> = Vec::new();
+        let mut starts: Vec<(Worker, Job, (u64, u64), Vec<run::Task>)> = Vec::new();
         let mut stops: HashMap<Worker, Vec<u64>> = HashMap::new();
         let mut closed = Vec::new();
         let mut answers = Vec::new();
         for effect in effects {
             match effect {
-                Effect::Start { worker, job, task, run, attempt, slack_us } => {
+                Effect::Start { worker, job, task, run, attempt, slack_us, wait_us } => {
                     let task = run::Task { run, index: task, attempt };
-                    match starts.iter_mut().find(|start| (start.0, start.1) == (worker, job)) {
+                    let order = (slack_us, wait_us);
+                    match starts.iter_mut().find(|s| (s.0, s.1, s.2) == (worker, job, order)) {
                         Some(start) => start.3.push(task),
-                        None => starts.push((worker, job, slack_us, vec![task])),
+                        None => starts.push((worker, job, order, vec![task])),
                     }
                 }
                 Effect::Stop { worker, run } => stops.entry(worker).or_default().push(run),
@@ -295,8 +294,8 @@
                 Effect::Answer { token, answer } => answers.push((token, answer)),
             }
         }
-        for (worker, job, slack_us, tasks) in starts {
-            self.send_start(worker, job, slack_us, tasks, now_us);
+        for (worker, job, order, tasks) in starts {
+            self.send_start(worker, job, order, tasks, now_us);
         }
         for (worker, runs) in stops {
             if let Some(link) = self.by_worker.get(&worker) {
@@ -315,7 +314,7 @@
         &mut self,
         worker: Worker,
         job: Job,
-        slack_us: u64,
+        (slack_us, wait_us): (u64, u64),
         tasks: Vec<run::Task>,
         now_us: u64,
     ) {
@@ -342,7 +341,7 @@
             cores: detail.cores,
             memory_mb: detail.memory_mb,
             rank: slack_us,
-            wait_ms: (SIDECAR_WAIT_US / 1000) as u32,
+            wait_ms: (wait_us / 1000) as u32,
             tasks,
         };
         self.links.send(*link, &Frame::Run(Message::Start(start)));
