Send urgent tasks to wait where room is expected first

Sidecars tell with each load report when the next run is expected to end, by progress, past what waits; an entry chooses the soonest, and none beyond 80 ms. Messages have version 3.

--- a/crates/bench/src/runs/world.rs
+++ b/crates/bench/src/runs/world.rs
@@ -428,8 +428,12 @@
         match message {
             ToEntry::Grant(grant) => {
                 node.grants[sidecar] = node.grants[sidecar].max(grant.number);
-                let worker::Grant { seen, free_cores, free_memory_mb, number } = grant;
-                node.planner.load(worker, Load { seen, free_cores, free_memory_mb }, now_us);
+                let worker::Grant { seen, free_cores, free_memory_mb, room_us, number } = grant;
+                node.planner.load(
+                    worker,
+                    Load { seen, free_cores, free_memory_mb, room_us },
+                    now_us,
+                );
                 if node.renewed_us[sidecar] + RENEW_US <= now_us {
                     node.renewed_us[sidecar] = now_us;
                     let at_us = self.arrives_us(entry, sidecar);
--- a/crates/dispatch/src/plan/place.rs
+++ b/crates/dispatch/src/plan/place.rs
@@ -116,11 +116,11 @@
         }
         let ahead = self.workers.iter().filter(|(worker, member)| {
             *member.profile.service == *submission.service
-                && member.takes_ahead(now_us)
+                && member.takes_ahead(URGENT_WAIT_US, now_us)
                 && suits(*worker, member)
         });
-        let freest = ahead.max_by_key(|(_, member)| member.free_cores());
-        freest.map_or(Choice::Full, |(worker, _)| Choice::Ahead(worker))
+        let soonest = ahead.min_by_key(|(_, member)| member.room_us(now_us));
+        soonest.map_or(Choice::Full, |(worker, _)| Choice::Ahead(worker))
     }
 
     fn send(&mut self, key: Job, task: usize, worker: Worker, wait_us: u64, now_us: u64) {
--- a/crates/dispatch/src/plan/worker.rs
+++ b/crates/dispatch/src/plan/worker.rs
@@ -37,6 +37,8 @@
     pub free_cores: i32,
     /// Free memory, in megabytes.
     pub free_memory_mb: i32,
+    /// Time until room is expected for one more start, in microseconds.
+    pub room_us: Option<u32>,
 }
 
 /// One worker.
@@ -47,6 +49,7 @@
     pub generation: u64,
     pub profile: Profile,
     pub load: Load,
+    loaded_us: u64,
     /// Runs that were sent and are not in the load.
     pub unseen: Vec<(u64, u32, u32)>,
     pub connected: bool,
@@ -83,10 +86,17 @@
             && self.free_memory_mb() >= i64::from(memory_mb)
     }
 
-    /// True if nothing is known to wait there and an urgent task may, for room.
-    pub fn takes_ahead(&self, now_us: u64) -> bool {
+    /// True if nothing is known to wait there for room, and some is expected within this time.
+    pub fn takes_ahead(&self, wait_us: u64, now_us: u64) -> bool {
         let open = self.connected && self.profile.ready && now_us >= self.avoid_until_us;
-        open && !self.is_failing() && self.free_cores() >= 0
+        let soon = self.room_us(now_us) <= wait_us;
+        open && !self.is_failing() && self.free_cores() >= 0 && soon
+    }
+
+    /// Time until room is expected for one more task.
+    pub fn room_us(&self, now_us: u64) -> u64 {
+        let expected_us = self.load.room_us.map_or(u64::MAX, u64::from);
+        expected_us.saturating_sub(now_us.saturating_sub(self.loaded_us))
     }
 
     /// True if nearly all that it starts fails.
@@ -180,6 +190,7 @@
                 generation,
                 profile: Profile::default(),
                 load: Load::default(),
+                loaded_us: now_us,
                 unseen: Vec::new(),
                 connected: true,
                 gone_us: None,
@@ -257,6 +268,7 @@
         let Some(member) = self.workers.get_mut(worker) else { return };
         let rose = load.free_cores > member.load.free_cores;
         member.load = load;
+        member.loaded_us = now_us;
         member.unseen.retain(|(run, _, _)| *run > load.seen);
         if rose {
             self.dispatch(now_us);
--- a/crates/dispatch/src/worker/action.rs
+++ b/crates/dispatch/src/worker/action.rs
@@ -79,6 +79,8 @@
     pub free_cores: i32,
     /// Memory that is free, in megabytes.
     pub free_memory_mb: i32,
+    /// Time until room is expected for one more start, in microseconds.
+    pub room_us: Option<u32>,
 }
 
 /// A call to the upstream about one run.
--- a/crates/dispatch/src/worker/entry.rs
+++ b/crates/dispatch/src/worker/entry.rs
@@ -129,6 +129,7 @@
     /// Sends the grants that are due.
     pub(super) fn grant(&mut self, now_us: u64) {
         let (free_cores, free_memory_mb) = self.free();
+        let room_us = self.room_us(now_us);
         let due: Vec<Entry> = self
             .entries
             .iter()
@@ -143,7 +144,8 @@
             let peer = &mut self.entries[entry];
             peer.granted_us = now_us;
             peer.pressing = false;
-            let grant = Grant { number: now_us, seen: peer.seen, free_cores, free_memory_mb };
+            let grant =
+                Grant { number: now_us, seen: peer.seen, free_cores, free_memory_mb, room_us };
             self.effects.push(Effect::Grant { entry, grant });
         }
         // Entries that are not due yet get the change with their next regular grant at the latest.
@@ -181,6 +183,16 @@
         (free(profile.cores, cores), free(profile.memory_mb, memory))
     }
 
+    /// Time until the runs that are expected to end first have made room for what waits and for one
+    /// more start; `None` while too little is known of their progress.
+    fn room_us(&self, now_us: u64) -> Option<u32> {
+        let waiting = self.waiting();
+        let mut ends: Vec<u64> = self.runs.values().filter_map(Run::expected_end_us).collect();
+        ends.sort_unstable();
+        let end_us = ends.get(waiting)?;
+        Some(end_us.saturating_sub(now_us).min(u64::from(u32::MAX)) as u32)
+    }
+
     /// Removes a run and reports how it ended.
     pub(super) fn end(&mut self, key: run::Key, how: run::How, now_us: u64) {
         let Some(run) = self.runs.remove(key) else { return };
--- a/crates/dispatch/src/worker/run.rs
+++ b/crates/dispatch/src/worker/run.rs
@@ -107,6 +107,13 @@
         !matches!(self.state, State::Waiting { .. })
     }
 
+    /// Time at which it ends if it goes on as it did until its progress was last seen.
+    pub fn expected_end_us(&self) -> Option<u64> {
+        let known = self.percent > 0 && matches!(self.state, State::Running { .. });
+        let elapsed_us = self.percent_us.saturating_sub(self.started_us);
+        known.then(|| self.started_us + elapsed_us * 100 / u64::from(self.percent))
+    }
+
     /// Time at which something is to be done about it.
     pub fn due_us(&self) -> u64 {
         match self.state {
--- a/crates/dispatch/tests/plan.rs
+++ b/crates/dispatch/tests/plan.rs
@@ -28,7 +28,11 @@
         ..Profile::default()
     };
     planner.profile(worker, profile, NOW_US);
-    planner.load(worker, Load { seen: 0, free_cores: CORES, free_memory_mb: 1_000 }, NOW_US);
+    planner.load(
+        worker,
+        Load { free_cores: CORES, free_memory_mb: 1_000, ..Load::default() },
+        NOW_US,
+    );
     worker
 }
 
@@ -167,7 +171,7 @@
     let runs = starts(&mut planner);
     planner.left(runs[0].0, NOW_US);
     planner.joined("sidecar-0", 1, 2, &[runs[1].1], NOW_US + 1_000);
-    let load = Load { seen: runs[1].1, free_cores: 5_000, free_memory_mb: 900 };
+    let load = Load { seen: runs[1].1, free_cores: 5_000, free_memory_mb: 900, room_us: None };
     planner.load(runs[0].0, load, NOW_US + 1_000);
     assert_eq!(starts(&mut planner).len(), 1);
 }
@@ -327,6 +331,11 @@
     assert!(now_us < NOW_US + 3 * 380_000);
 }
 
+/// Load of a worker without room for a task, and the time until it expects some.
+fn full(room_us: Option<u32>) -> Load {
+    Load { seen: 0, free_cores: 1_000, free_memory_mb: 500, room_us }
+}
+
 /// A rush beyond the room: guards against room that is freed at one worker and taken by whoever is told
 /// first, while an urgent job waits at another entry.
 #[rstest]
@@ -334,8 +343,26 @@
 #[case::less_urgent(1, 0)]
 fn in_a_rush_an_urgent_task_waits_at_a_full_worker(#[case] priority: u32, #[case] sent: usize) {
     let (mut planner, workers) = planner(1);
-    let full = Load { seen: 0, free_cores: 1_000, free_memory_mb: 500 };
-    planner.load(workers[0], full, NOW_US);
+    planner.load(workers[0], full(Some(10_000)), NOW_US);
     planner.submit(Submission { priority, ..submission("job", 2) }, NOW_US);
     assert_eq!(starts(&mut planner).len(), sent, "one task waits there at a time");
 }
+
+/// Long runs in the way: guards against an urgent task that waits at a worker whose runs have long to go,
+/// while another is about to have room, and against one that waits although none is.
+#[rstest]
+#[case(Some(200_000), Some(20_000), Some(1))]
+#[case(Some(5_000), Some(20_000), Some(0))]
+#[case(Some(200_000), None, None)]
+fn an_urgent_task_waits_where_room_is_expected_first(
+    #[case] first_us: Option<u32>,
+    #[case] second_us: Option<u32>,
+    #[case] chosen: Option<usize>,
+) {
+    let (mut planner, workers) = planner(2);
+    planner.load(workers[0], full(first_us), NOW_US);
+    planner.load(workers[1], full(second_us), NOW_US);
+    planner.submit(Submission { priority: 0, ..submission("job", 1) }, NOW_US);
+    let sent: Vec<Worker> = starts(&mut planner).iter().map(|(worker, _)| *worker).collect();
+    assert_eq!(sent.first().copied(), chosen.map(|index| workers[index]));
+}
--- a/crates/dispatch/tests/worker.rs
+++ b/crates/dispatch/tests/worker.rs
@@ -356,3 +356,28 @@
     let orders = take_orders(&mut supervisor);
     assert!(matches!(orders[..], [(_, Order::Stop { .. })]));
 }
+
+/// Guards against a guess of when room comes that leaves out what waits already: of two runs at 50% and
+/// 20% after 100 ms the first makes room for the start that waits, the second for one more.
+#[test]
+fn expected_room_follows_from_progress_and_what_waits() {
+    let (mut supervisor, entry) = open(1_000_000);
+    let names: Vec<Arc<str>> = (1..=2)
+        .map(|run| {
+            started(&mut supervisor, entry, run, 1_000_000);
+            Arc::from(format!("task-{run}"))
+        })
+        .collect();
+    let running = vec![(names[0].clone(), 1, 50), (names[1].clone(), 1, 20)];
+    let room = |effects: &[Effect]| {
+        effects.iter().rev().find_map(|effect| match effect {
+            Effect::Grant { grant, .. } => Some(grant.room_us),
+            _ => None,
+        })
+    };
+    let effects = look(&mut supervisor, running.clone(), vec![], 1_100_000);
+    assert_eq!(room(&effects), Some(Some(100_000)));
+    supervisor.start(entry, start(3, 1_100_000), 1_100_000);
+    supervisor.tick(1_103_000);
+    assert_eq!(room(&supervisor.drain()), Some(Some(397_000)));
+}
--- a/crates/node/src/runs/translate.rs
+++ b/crates/node/src/runs/translate.rs
@@ -31,13 +31,13 @@
 }
 
 pub(super) fn grant_out(grant: &worker::Grant) -> run::Grant {
-    let worker::Grant { number, seen, free_cores, free_memory_mb } = *grant;
-    run::Grant { number, seen, free_cores, free_memory_mb }
+    let worker::Grant { number, seen, free_cores, free_memory_mb, room_us } = *grant;
+    run::Grant { number, seen, free_cores, free_memory_mb, room_us }
 }
 
 pub(super) fn load_in(grant: &run::Grant) -> plan::Load {
-    let run::Grant { seen, free_cores, free_memory_mb, .. } = *grant;
-    plan::Load { seen, free_cores, free_memory_mb }
+    let run::Grant { seen, free_cores, free_memory_mb, room_us, .. } = *grant;
+    plan::Load { seen, free_cores, free_memory_mb, room_us }
 }
 
 pub(super) fn profile_out(profile: &worker::Profile) -> run::Profile<'_> {
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -5,7 +5,7 @@
 use crate::frame::Frame;
 
 /// Version of the encoding; a frame of another version is rejected.
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 /// Largest encoded frame on a stream, in bytes.
 pub const FRAME_BYTES: usize = 4 << 20;
 /// Largest datagram, in bytes; fits an Ethernet frame without fragmentation.
--- a/crates/wire/src/run.rs
+++ b/crates/wire/src/run.rs
@@ -90,6 +90,8 @@
     pub free_cores: i32,
     /// Memory that neither runs nor waiting starts take, in megabytes.
     pub free_memory_mb: i32,
+    /// Time until room is expected for one more start, by the progress of the runs, in microseconds.
+    pub room_us: Option<u32>,
 }
 
 /// Tasks of one job to start on one upstream.
