--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -43,9 +43,10 @@
 /// Shortest and longest time after which a refused caller is told to return, in milliseconds.
 const RETRY_MS: (u64, u64) = (50, 1_000);
 
-/// Time from the last change of the workers after which their number counts in admission, in microseconds:
-/// after an outage of all, sidecars connect within about half a second.
-const SETTLE_US: u64 = 500_000;
+/// Time from the last change of the workers after which their number counts in admission, in microseconds,
+/// when few of them are known: after an outage of all, sidecars connect within about 150 ms of each
+/// other.
+const SETTLE_US: u64 = 200_000;
 
 /// Time without an event after which the VM was suspended, in microseconds: the lease of this entry,
 /// and the longest sleep between two events.
@@ -88,6 +89,8 @@
     queued: HashMap<(Arc<str>, u64), (f64, u64)>,
     /// Time from which the workers that are connected are taken to be all.
     settled_us: u64,
+    /// Most workers that have taken work at one time.
+    most_accepting: usize,
     /// Entries that share the workers, this one included.
     entries: u64,
     woke_us: u64,
@@ -110,6 +113,7 @@
             kinds: Kinds::new(),
             queued: HashMap::new(),
             settled_us: 0,
+            most_accepting: 0,
             entries: 1,
             woke_us: 0,
             random: fastrand::Rng::with_seed(seed),
--- a/crates/dispatch/src/plan/worker.rs
+++ b/crates/dispatch/src/plan/worker.rs
@@ -181,7 +181,7 @@
             return None;
         }
         if known.is_none() {
-            self.settled_us = now_us + SETTLE_US;
+            self.unsettle(now_us);
         }
         let key = known.unwrap_or_else(|| {
             self.workers.insert(Member {
@@ -237,7 +237,16 @@
         if let Some(member) = self.workers.get_mut(worker) {
             member.connected = false;
             member.gone_us = Some(renewed_us + GONE_US);
-            self.settled_us = self.settled_us.max(renewed_us + SETTLE_US);
+            self.unsettle(renewed_us);
+        }
+    }
+
+    /// The workers have changed. If fewer than half of them are known, others are expected to follow and
+    /// admission waits for them; single ones that come and go change the room too little.
+    fn unsettle(&mut self, changed_us: u64) {
+        let few = self.accepting() * 2 < self.most_accepting;
+        if few || changed_us < self.settled_us {
+            self.settled_us = self.settled_us.max(changed_us + SETTLE_US);
         }
     }
 
@@ -247,6 +256,7 @@
         let name = member.name.clone();
         let accepting = profile.ready;
         member.profile = profile;
+        self.most_accepting = self.most_accepting.max(self.accepting());
         // The incarnation has ended what an earlier one left before it accepts work.
         if accepting {
             let old: Vec<Worker> = self
--- a/crates/dispatch/tests/plan.rs
+++ b/crates/dispatch/tests/plan.rs
@@ -366,3 +366,29 @@
     let sent: Vec<Worker> = starts(&mut planner).iter().map(|(worker, _)| *worker).collect();
     assert_eq!(sent.first().copied(), chosen.map(|index| workers[index]));
 }
+
+/// Sidecars that restart in turn during a rush: guards against an entry that takes every job for half a
+/// second after each of them, and gives most of them up late.
+#[test]
+fn a_restarted_sidecar_does_not_switch_admission_off() {
+    let (mut planner, workers) = planner(4);
+    planner.wake(NOW_US);
+    let later_us = NOW_US + 2_000_000;
+    planner.wake(later_us);
+    for worker in &workers {
+        planner.load(*worker, full(None), later_us);
+    }
+    for number in 0..40 {
+        planner.submit(submission(&format!("job-{number}"), 4), later_us);
+    }
+    planner.drain();
+    planner.joined("sidecar-0", 2, 1, &[], later_us).expect("a new incarnation");
+    planner.submit(submission("last", 4), later_us);
+    planner.tick(later_us + 10_000);
+    let refused = planner
+        .drain()
+        .iter()
+        .any(|effect| matches!(effect, Effect::Answer { answer: Answer::NotRun { .. }, .. }));
+    assert!(refused);
+    assert!(planner.find("last").is_none());
+}
