Account for lost work by cause from the logs

kingcup-account reads the logs of entries and sidecars and puts each job down to one cause, beside the core time that runs took and that upstreams had.

--- a/crates/dispatch/src/plan/job.rs
+++ b/crates/dispatch/src/plan/job.rs
@@ -65,6 +65,11 @@
 }
 
 impl Submission {
+    /// Time in which a job whose tasks take this long meets its objective, in microseconds.
+    pub fn target_us(&self, work_us: u64) -> u64 {
+        work_us * self.stretch_permille / 1000 + self.allowance_us
+    }
+
     /// True if the caller has tried before: some of the time for which it waits has passed. Its objective
     /// counts from its first attempt, so it is served only with room to spare.
     pub fn is_repeated(&self) -> bool {
@@ -193,7 +198,7 @@
             return key;
         }
         let work_us = self.expect_us(&submission);
-        let target_us = work_us * submission.stretch_permille / 1000 + submission.allowance_us;
+        let target_us = submission.target_us(work_us);
         let tasks = usize::from(submission.tasks);
         let repeated = submission.is_repeated();
         self.next_job += 1;
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -71,6 +71,11 @@
     pub spec: Arc<str>,
     pub cores: u32,
     pub memory_mb: u32,
+    pub tasks: u16,
+    /// Expected run time of a task.
+    pub work_us: u64,
+    /// Time in which the job meets its objective.
+    pub target_us: u64,
     pub arrived_us: u64,
 }
 
--- a/crates/node/src/runs/entry/callers.rs
+++ b/crates/node/src/runs/entry/callers.rs
@@ -98,6 +98,7 @@
             return self.tell(id, Told::Unavailable(RETURN_MS));
         }
         submission.token = id.data().as_ffi();
+        let work_us = self.planner.expect_us(&submission);
         let detail = Detail {
             id: submission.id.clone(),
             queue: submission.queue.clone(),
@@ -105,6 +106,9 @@
             spec: Arc::from(spec),
             cores: submission.cores,
             memory_mb: submission.memory_mb,
+            tasks: submission.tasks,
+            work_us,
+            target_us: submission.target_us(work_us),
             arrived_us: now_us,
         };
         let job = self.planner.submit(submission, now_us);
@@ -122,10 +126,14 @@
             let took_us = now_us - detail.arrived_us;
             log::info!(
                 "event=job_answered job={} queue={} answer={answer:?} took_us={took_us} \
-                 starts={} config={}",
+                 target_us={} starts={} tasks={} cores={} work_us={} config={}",
                 detail.id,
                 detail.queue,
+                detail.target_us,
                 detail.starts,
+                detail.tasks,
+                detail.cores,
+                detail.work_us,
                 self.document.version()
             );
             self.meter.answered(answer, took_us);
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -375,7 +375,12 @@
         }
         if profile {
             if let Some(profile) = self.supervisor.profile() {
-                log::info!("event=profile name={} accepting={}", profile.name, profile.ready);
+                log::info!(
+                    "event=profile name={} cores={} accepting={}",
+                    profile.name,
+                    profile.cores,
+                    profile.ready
+                );
             }
             let links: Vec<Id> = self.peers.keys().copied().collect();
             for link in links {
--- a/crates/tools/src/lib.rs
+++ b/crates/tools/src/lib.rs
@@ -1,4 +1,5 @@
-//! Command line for operators and teams, and the load tool.
+//! Command line for operators and teams, the load tool and the account of lost work.
 
+pub mod account;
 pub mod ctl;
 pub mod load;
