Take runs of a restarted upstream for lost only when its list shows so

Ruled out: leases (all within 1.164 s), the stand-in (it restarts as the platform says). Now runs stay until a list of the new life leaves them out; a list of an earlier life is ignored; starts that an earlier life left unanswered are stopped in the new one, which would otherwise carry them out late.

--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -46,7 +46,7 @@
 /// Time from the last change of the workers after which their number counts in admission, in microseconds,
 /// when few of them are known: after an outage of all, sidecars connect within about 150 ms of each
 /// other.
-const SETTLE_US: u64 = 200_000;
+const SETTLE_US: u64 = 500_000;
 
 /// Time without an event after which the VM was suspended, in microseconds: the lease of this entry,
 /// and the longest sleep between two events.
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -12,7 +12,10 @@
 mod order;
 pub mod run;
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
 
 use slotmap::SlotMap;
 
@@ -48,6 +51,9 @@
 const MAX_ORDER_TIMEOUT_US: u64 = 160_000;
 /// Starts of one run that may stay unanswered before it is stopped.
 const START_TRIES: u32 = 8;
+/// Time after which an unanswered order is no longer carried out, in microseconds; the platform carries
+/// some out seconds later.
+const LATE_ORDER_US: u64 = 15_000_000;
 /// Looks in a row that may stay unanswered before the upstream is given no new work: about 0.2 s.
 const SILENT_LOOKS: u32 = 5;
 /// Wait of a look while runs are active, in milliseconds: bounds the delay of an end whose answer
@@ -112,6 +118,8 @@
     /// Runs that are listed at the upstream and were not started here, and when each was last
     /// told to stop.
     strangers: BTreeMap<(Arc<str>, u32), u64>,
+    /// Time of the end, task and attempt of runs with an unanswered copy of their start.
+    unanswered: VecDeque<(u64, Arc<str>, u32)>,
     entries: SlotMap<Entry, Peer>,
     announced: bool,
     load_changed: bool,
@@ -144,6 +152,7 @@
             lease_end_us: 0,
             runs: SlotMap::with_key(),
             strangers: BTreeMap::new(),
+            unanswered: VecDeque::new(),
             entries: SlotMap::with_key(),
             announced: false,
             load_changed: false,
@@ -248,7 +257,9 @@
         self.effects.push(effect);
     }
 
-    /// Forgets all that ran in an earlier life of the upstream.
+    /// Forgets what an earlier life of the upstream has told. Which runs ended with it is known from the
+    /// list of the new one: a start may have reached that before its first report. Starts that an earlier
+    /// life left unanswered are stopped, since the new one would carry them out.
     fn restarted(&mut self, life: u64, now_us: u64) {
         self.life = life;
         self.profile = None;
@@ -256,7 +267,17 @@
         self.fence = 0;
         self.last_end = 0;
         self.strangers.clear();
-        self.lose_all(now_us);
+        let unsure = self.runs.iter().filter(|(_, run)| run.takes_room() && run.unsure);
+        let unsure: Vec<run::Key> = unsure.map(|(key, _)| key).collect();
+        for key in unsure {
+            self.send_stop(key, None, now_us);
+        }
+        self.unanswered.retain(|(ended_us, _, _)| ended_us + LATE_ORDER_US > now_us);
+        for (_, task, attempt) in self.unanswered.drain(..) {
+            let order = Order::Stop { task, attempt, fence: self.fence };
+            let (key, timeout_us) = (run::Key::default(), STOP_RETRY_US);
+            self.effects.push(Effect::Order { key, order, timeout_us });
+        }
         self.phase = Phase::Unknown;
         self.look_due_us = now_us;
     }
@@ -288,6 +309,9 @@
             self.stop_run(key, Reason::EntryLease, now_us);
         }
         self.entries.retain(|_, peer| peer.keep(now_us));
+        while self.unanswered.front().is_some_and(|(at, _, _)| at + LATE_ORDER_US < now_us) {
+            self.unanswered.pop_front();
+        }
         let due: Vec<run::Key> = self
             .runs
             .iter()
--- a/crates/dispatch/src/worker/look.rs
+++ b/crates/dispatch/src/worker/look.rs
@@ -60,6 +60,10 @@
         self.looking = false;
         self.look_due_us = now_us;
         self.missed_looks = 0;
+        if look.life < self.life {
+            self.settle(now_us);
+            return;
+        }
         if look.life > self.life {
             self.restarted(look.life, now_us);
         }
--- a/crates/dispatch/src/worker/order.rs
+++ b/crates/dispatch/src/worker/order.rs
@@ -41,6 +41,7 @@
             percent: 0,
             percent_us: 0,
             state: State::Waiting { until_us: now_us + start.wait_us },
+            unsure: false,
         });
     }
 
@@ -82,22 +83,27 @@
     fn start_replied(&mut self, key: run::Key, reply: Reply, now_us: u64) {
         let look = self.look_number;
         let Some(run) = self.runs.get_mut(key) else { return };
-        let State::Starting { tries, unsure } = run.state else { return };
+        let State::Starting { tries } = run.state else { return };
+        let unsure = run.unsure;
         match reply {
             Reply::Done => run.state = State::Running { look },
             // A copy of this start ran and has ended; the next look lists its end.
             Reply::Old if unsure => run.state = State::Running { look },
             Reply::Old if tries < START_TRIES => {
                 run.attempt += 1;
-                self.send_start(key, tries + 1, unsure, now_us);
+                self.send_start(key, tries + 1, now_us);
             }
             Reply::Fence | Reply::Late if tries < START_TRIES => {
-                self.send_start(key, tries + 1, unsure, now_us);
+                self.send_start(key, tries + 1, now_us);
             }
             Reply::Unanswered if tries < START_TRIES => {
-                self.send_start(key, tries + 1, true, now_us);
+                run.unsure = true;
+                self.send_start(key, tries + 1, now_us);
+            }
+            Reply::Unanswered => {
+                run.unsure = true;
+                self.stop_run(key, Reason::Unanswered, now_us);
             }
-            Reply::Unanswered => self.stop_run(key, Reason::Unanswered, now_us),
             // An earlier copy of this start may still be on its way.
             _ if unsure => self.stop_run(key, Reason::Rejected, now_us),
             _ => self.refuse(key, Reason::Rejected),
@@ -138,7 +144,7 @@
             }
             if !self.is_running_already(key) {
                 self.runs[key].started_us = now_us;
-                self.send_start(key, 1, false, now_us);
+                self.send_start(key, 1, now_us);
             }
         }
     }
@@ -160,11 +166,11 @@
         self.runs.values().any(|run| run.takes_room() && run.task == *task)
     }
 
-    fn send_start(&mut self, key: run::Key, tries: u32, unsure: bool, now_us: u64) {
+    fn send_start(&mut self, key: run::Key, tries: u32, now_us: u64) {
         let Some(clock_ms) = self.clock.at_ms(now_us) else { return };
         self.extend_lease(now_us);
         let Some(run) = self.runs.get_mut(key) else { return };
-        run.state = State::Starting { tries, unsure };
+        run.state = State::Starting { tries };
         let order = Order::Start {
             task: run.task.clone(),
             attempt: run.attempt,
@@ -192,7 +198,7 @@
         }
     }
 
-    fn send_stop(&mut self, key: run::Key, look: Option<u64>, now_us: u64) {
+    pub(super) fn send_stop(&mut self, key: run::Key, look: Option<u64>, now_us: u64) {
         let Some(run) = self.runs.get_mut(key) else { return };
         run.state = State::Stopping { sent_us: now_us, look };
         let order = Order::Stop { task: run.task.clone(), attempt: run.attempt, fence: self.fence };
--- a/crates/dispatch/src/worker/run.rs
+++ b/crates/dispatch/src/worker/run.rs
@@ -74,8 +74,8 @@
 pub(super) enum State {
     /// Waits for room until a time.
     Waiting { until_us: u64 },
-    /// The start was sent. `unsure` if a copy of it was not answered.
-    Starting { tries: u32, unsure: bool },
+    /// The start was sent.
+    Starting { tries: u32 },
     /// The upstream has it. `look` is the last look before that was known.
     Running { look: u64 },
     /// It is being stopped. `look` is the last look sent before the stop was answered.
@@ -99,6 +99,8 @@
     /// Time of the look that gave the percent.
     pub percent_us: u64,
     pub state: State,
+    /// A copy of its start was not answered, and may be carried out later.
+    pub unsure: bool,
 }
 
 impl Run {
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -90,7 +90,13 @@
     fwd: Fwd<Ready>,
 ) -> io::Result<MioSource<TcpListener>> {
     let poll = cx.anymap_get::<MioPoll>();
-    poll.add(TcpListener::bind(address)?, Interest::READABLE, PRIORITY, fwd)
+    poll.add(bind(address)?, Interest::READABLE, PRIORITY, fwd)
+}
+
+/// Binds a listener; an error names the address.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address)
+        .map_err(|error| io::Error::new(error.kind(), format!("{address}: {error}")))
 }
 
 impl Table {
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -79,6 +79,15 @@
     pub arrived_us: u64,
 }
 
+/// Tasks of one job that start at one worker.
+struct Batch {
+    worker: Worker,
+    job: Job,
+    slack_us: u64,
+    wait_us: u64,
+    tasks: Vec<run::Task>,
+}
+
 /// The process on a link.
 #[derive(Debug)]
 enum Peer {
@@ -280,7 +289,7 @@
     }
 
     fn carry_out(&mut self, effects: Vec<Effect>, now_us: u64) {
-        let mut starts: Vec<(Worker, Job, (u64, u64), Vec<run::Task>)> = Vec::new();
+        let mut batches: Vec<Batch> = Vec::new();
         let mut stops: HashMap<Worker, Vec<u64>> = HashMap::new();
         let mut closed = Vec::new();
         let mut answers = Vec::new();
@@ -288,10 +297,15 @@
             match effect {
                 Effect::Start { worker, job, task, run, attempt, slack_us, wait_us } => {
                     let task = run::Task { run, index: task, attempt };
-                    let order = (slack_us, wait_us);
-                    match starts.iter_mut().find(|s| (s.0, s.1, s.2) == (worker, job, order)) {
-                        Some(start) => start.3.push(task),
-                        None => starts.push((worker, job, order, vec![task])),
+                    let same = |batch: &&mut Batch| {
+                        (batch.worker, batch.job, batch.wait_us) == (worker, job, wait_us)
+                    };
+                    match batches.iter_mut().find(same) {
+                        Some(batch) => batch.tasks.push(task),
+                        None => {
+                            let tasks = vec![task];
+                            batches.push(Batch { worker, job, slack_us, wait_us, tasks });
+                        }
                     }
                 }
                 Effect::Stop { worker, run } => stops.entry(worker).or_default().push(run),
@@ -299,8 +313,8 @@
                 Effect::Answer { token, answer } => answers.push((token, answer)),
             }
         }
-        for (worker, job, order, tasks) in starts {
-            self.send_start(worker, job, order, tasks, now_us);
+        for batch in batches {
+            self.send_start(batch, now_us);
         }
         for (worker, runs) in stops {
             if let Some(link) = self.by_worker.get(&worker) {
@@ -315,14 +329,8 @@
         }
     }
 
-    fn send_start(
-        &mut self,
-        worker: Worker,
-        job: Job,
-        (slack_us, wait_us): (u64, u64),
-        tasks: Vec<run::Task>,
-        now_us: u64,
-    ) {
+    fn send_start(&mut self, batch: Batch, now_us: u64) {
+        let Batch { worker, job, slack_us, wait_us, tasks } = batch;
         let Some(detail) = self.details.get_mut(job) else { return };
         // Without a connection the planner learns that these runs are lost.
         let Some(link) = self.by_worker.get(&worker) else { return };
--- a/crates/node/src/web/server.rs
+++ b/crates/node/src/web/server.rs
@@ -65,7 +65,7 @@
         fwd: Fwd<Ready>,
     ) -> io::Result<Self> {
         let poll = cx.anymap_get::<MioPoll>();
-        let listener = poll.add(TcpListener::bind(address)?, Interest::READABLE, PRIORITY, fwd)?;
+        let listener = poll.add(crate::link::bind(address)?, Interest::READABLE, PRIORITY, fwd)?;
         Ok(Self { listener, connections: SlotMap::with_key(), limits, most, closing: false })
     }
 
--- a/crates/proof/src/harness/process.rs
+++ b/crates/proof/src/harness/process.rs
@@ -202,7 +202,9 @@
 
     /// True if the program has not ended.
     pub fn is_running(&self) -> bool {
-        !self.shared.output.lock().unwrap_or_else(PoisonError::into_inner).ended
+        // The thread that watches the process may not have seen a kill yet.
+        self.status.is_none()
+            && !self.shared.output.lock().unwrap_or_else(PoisonError::into_inner).ended
     }
 
     /// Final lines of the log.
--- a/crates/tools/src/bin/kingcup-account.rs
+++ b/crates/tools/src/bin/kingcup-account.rs
@@ -4,7 +4,7 @@
     env,
     error::Error,
     fs::File,
-    io::{self, BufRead, BufReader},
+    io::{self, BufRead, BufReader, Write},
     process::ExitCode,
 };
 
@@ -46,7 +46,7 @@
         let file = File::open(path).map_err(|error| format!("{path}: {error}"))?;
         take(&mut account, BufReader::new(file))?;
     }
-    print!("{}", account.finish());
+    write!(io::stdout(), "{}", account.finish())?;
     Ok(())
 }
 
