Bound what slow senders can fill of an entry's memory

Cause: 3,000 connections of callers may each hold 272 KB of a request that is not whole, and one byte now and then keeps them open: over the 160 MB of the smallest entry VM. Now all connections of a server hold at most 16 MB of such bytes; the one that brings the sum over it is closed, and so is a request that takes more than 10 s to arrive. Ruled out: a lower limit on bodies alone (3,000 times 64 KB is still too much).

--- a/crates/node/src/web.rs
+++ b/crates/node/src/web.rs
@@ -16,5 +16,11 @@
 const READ_BYTES: usize = 8 << 10;
 /// Receive buffer that an idle connection keeps, in bytes.
 const IDLE_BYTES: usize = 16 << 10;
+/// Bytes of requests that are not whole yet, over all connections of a server: a tenth of the memory of
+/// the smallest entry VM, 160 MB.
+const HELD_BYTES: usize = 16 << 20;
+/// Longest time from the first byte of a request to its last, in microseconds: well over the time for which
+/// callers wait.
+const REQUEST_US: u64 = 10_000_000;
 /// Headers that a message may have.
 const HEADERS: usize = 64;
--- a/crates/node/src/web/server.rs
+++ b/crates/node/src/web/server.rs
@@ -11,7 +11,7 @@
 
 use super::{
     message::{Limits, Request, Response, Wrong},
-    IDLE_BYTES, READ_BYTES,
+    HELD_BYTES, IDLE_BYTES, READ_BYTES, REQUEST_US,
 };
 use crate::reactor::PRIORITY;
 
@@ -39,6 +39,9 @@
     /// Closes after the answer that is being sent.
     closing: bool,
     heard_us: u64,
+    /// Bytes of a request that is not whole, and the time of the first of them.
+    held: usize,
+    began_us: Option<u64>,
 }
 
 /// A listener and its connections.
@@ -47,6 +50,8 @@
     connections: SlotMap<Id, Connection>,
     limits: Limits,
     most: usize,
+    /// Bytes of requests that are not whole, over all connections.
+    held: usize,
     /// Connections close after their next response.
     closing: bool,
 }
@@ -66,7 +71,8 @@
     ) -> io::Result<Self> {
         let poll = cx.anymap_get::<MioPoll>();
         let listener = poll.add(crate::link::bind(address)?, Interest::READABLE, PRIORITY, fwd)?;
-        Ok(Self { listener, connections: SlotMap::with_key(), limits, most, closing: false })
+        let connections = SlotMap::with_key();
+        Ok(Self { listener, connections, limits, most, held: 0, closing: false })
     }
 
     /// Address that is listened on.
@@ -112,8 +118,14 @@
             }
             let mut buffer = TcpStreamBuf::new();
             buffer.set_nodelay(true);
-            let connection =
-                Connection { stream: buffer, busy: false, closing: false, heard_us: now_us };
+            let connection = Connection {
+                stream: buffer,
+                busy: false,
+                closing: false,
+                heard_us: now_us,
+                held: 0,
+                began_us: None,
+            };
             let id = self.connections.insert(connection);
             let fwd =
                 Fwd::to_actor(cx.this().clone(), move |this, cx, event| ready(this, cx, id, event));
@@ -145,10 +157,36 @@
             }
         }
         if gone {
-            let busy = self.connections.remove(id).is_some_and(|connection| connection.busy);
+            let busy = self.remove(id).is_some_and(|connection| connection.busy);
             return Some(Event::Gone(busy));
         }
-        self.next(id)
+        let event = self.next(id);
+        self.hold(id, now_us);
+        event
+    }
+
+    /// Counts what a connection has sent of a request that is not whole. A connection that brings the sum
+    /// over its bound is closed, unless its caller waits for an answer.
+    fn hold(&mut self, id: Id, now_us: u64) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        let held = connection.stream.wr - connection.stream.rd;
+        self.held = self.held - connection.held + held;
+        connection.held = held;
+        if held == 0 {
+            connection.began_us = None;
+        } else {
+            connection.began_us.get_or_insert(now_us);
+        }
+        if self.held > HELD_BYTES && held > 0 && !connection.busy {
+            log::warn!("event=request_dropped reason=memory held_bytes={}", self.held);
+            self.remove(id);
+        }
+    }
+
+    fn remove(&mut self, id: Id) -> Option<Connection> {
+        let connection = self.connections.remove(id)?;
+        self.held -= connection.held;
+        Some(connection)
     }
 
     /// Takes the next request of a connection that has none without an answer.
@@ -196,15 +234,23 @@
         connection.busy = false;
         connection.stream.out_eof = connection.closing;
         if connection.stream.flush().is_err() {
-            self.connections.remove(id);
+            self.remove(id);
             return false;
         }
         true
     }
 
-    /// Closes connections that have been idle for `idle_us`. A closing one gets its time to send.
+    /// Closes connections that have been idle for `idle_us`, and those that send a request too slowly. A
+    /// closing one gets its time to send.
     pub fn close_idle(&mut self, idle_us: u64, now_us: u64) {
-        self.connections
-            .retain(|_, connection| connection.busy || connection.heard_us + idle_us > now_us);
+        let expired = |connection: &Connection| {
+            let slow = connection.began_us.is_some_and(|began| began + REQUEST_US <= now_us);
+            !connection.busy && (slow || connection.heard_us + idle_us <= now_us)
+        };
+        let ids = self.connections.iter().filter(|(_, connection)| expired(connection));
+        let ids: Vec<Id> = ids.map(|(id, _)| id).collect();
+        for id in ids {
+            self.remove(id);
+        }
     }
 }
