--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -1,7 +1,8 @@
 //! Decisions of an entry: which jobs wait, which are refused, and where their tasks go.
 //!
-//! Jobs wait at the entry, the most urgent kind first and then by arrival. Tasks go to sidecars only when room is known to be free, so that a wrong choice costs
-//! one round trip and not a wait.
+//! Jobs wait at the entry, the most urgent kind first and then by arrival. Tasks go to sidecars when room is
+//! known to be free, so that a wrong choice costs one round trip and not a wait. Only urgent tasks may wait
+//! at full sidecars, which order what all entries send them.
 
 pub mod action;
 mod admission;
@@ -44,8 +45,7 @@
 const RETRY_MS: (u64, u64) = (50, 1_000);
 
 /// Time from the last change of the workers after which their number counts in admission, in microseconds,
-/// when few of them are known: after an outage of all, sidecars connect within about 150 ms of each
-/// other.
+/// when few of them are known: several times the 150 ms between two attempts of a sidecar to connect.
 const SETTLE_US: u64 = 500_000;
 
 /// Time without an event after which the VM was suspended, in microseconds: the lease of this entry,
@@ -89,7 +89,7 @@
     queued: HashMap<(Arc<str>, u64), (f64, u64)>,
     /// Time from which the workers that are connected are taken to be all.
     settled_us: u64,
-    /// Most workers that have taken work at one time.
+    /// Most workers that have taken work at one time since the start.
     most_accepting: usize,
     /// Entries that share the workers, this one included.
     entries: u64,
--- a/crates/dispatch/tests/worker.rs
+++ b/crates/dispatch/tests/worker.rs
@@ -115,6 +115,15 @@
     (key, order)
 }
 
+/// Starts the first run, and leaves its order unanswered.
+fn start_unanswered(supervisor: &mut Supervisor, entry: Entry, now_us: u64) -> run::Key {
+    supervisor.start(entry, start(1, now_us), now_us);
+    supervisor.tick(now_us);
+    let (key, order) = take_orders(supervisor).remove(0);
+    supervisor.replied(key, &order, Reply::Unanswered, None, now_us);
+    key
+}
+
 /// Guards against more cores in use than the upstream has.
 #[test]
 fn a_start_without_room_waits_and_is_refused_after_its_wait() {
@@ -399,10 +408,7 @@
 fn an_unanswered_start_is_stopped_for_good_in_the_next_life() {
     let now_us = 1_000_000;
     let (mut supervisor, entry) = open(now_us);
-    supervisor.start(entry, start(1, now_us), now_us);
-    supervisor.tick(now_us);
-    let (key, order) = take_orders(&mut supervisor).remove(0);
-    supervisor.replied(key, &order, Reply::Unanswered, None, now_us);
+    start_unanswered(&mut supervisor, entry, now_us);
     let (key, order) = take_orders(&mut supervisor).remove(0);
     supervisor.replied(key, &order, Reply::Done, None, now_us);
     supervisor.report(profile(2, true), 1, 100, now_us);
@@ -423,10 +429,7 @@
 fn an_unanswered_start_of_an_ended_run_is_stopped_in_the_next_life() {
     let now_us = 1_000_000;
     let (mut supervisor, entry) = open(now_us);
-    supervisor.start(entry, start(1, now_us), now_us);
-    supervisor.tick(now_us);
-    let (key, order) = take_orders(&mut supervisor).remove(0);
-    supervisor.replied(key, &order, Reply::Unanswered, None, now_us);
+    start_unanswered(&mut supervisor, entry, now_us);
     take_orders(&mut supervisor);
     look(&mut supervisor, vec![], vec![(1, "task-1".into(), 1, How::Failed)], now_us);
     supervisor.report(profile(2, true), 1, 100, now_us);
