--- a/crates/dispatch/tests/worker.rs
+++ b/crates/dispatch/tests/worker.rs
@@ -116,12 +116,11 @@
 }
 
 /// Starts the first run, and leaves its order unanswered.
-fn start_unanswered(supervisor: &mut Supervisor, entry: Entry, now_us: u64) -> run::Key {
+fn start_unanswered(supervisor: &mut Supervisor, entry: Entry, now_us: u64) {
     supervisor.start(entry, start(1, now_us), now_us);
     supervisor.tick(now_us);
     let (key, order) = take_orders(supervisor).remove(0);
     supervisor.replied(key, &order, Reply::Unanswered, None, now_us);
-    key
 }
 
 /// Guards against more cores in use than the upstream has.
