--- /dev/null
+++ b/crates/bench/src/runs/world/entries.rs
@@ -0,0 +1,103 @@
+//! What entries decide, and what they are told.
+
+use kingcup_dispatch::{
+    plan::{self, Answer, Job, Load},
+    worker::{self, Start},
+};
+
+use super::{
+    event::{Event, ToEntry, ToSidecar},
+    World, RENEW_US,
+};
+
+impl World {
+    pub(super) fn settle_entry(&mut self, entry: usize) {
+        let effects = self.entries[entry].planner.drain();
+        for effect in effects {
+            match effect {
+                plan::Effect::Start { worker, job, task, run, attempt, slack_us, wait_us } => {
+                    self.send_start(entry, worker, job, task, run, attempt, (slack_us, wait_us));
+                }
+                plan::Effect::Stop { worker, run } => {
+                    let node = &self.entries[entry];
+                    if let Some(sidecar) = node.workers.iter().position(|key| *key == worker) {
+                        let at_us = self.arrives_us(entry, sidecar);
+                        self.push(at_us, Event::Sidecar(entry, sidecar, ToSidecar::Stop(run)));
+                    }
+                }
+                plan::Effect::Closed { job } => {
+                    self.entries[entry].jobs.remove(&job);
+                }
+                plan::Effect::Answer { token, answer } => {
+                    let index = token as usize;
+                    let untrue =
+                        matches!(answer, Answer::NotRun { .. }) && self.started.contains(&index);
+                    self.outcome.untrue += u64::from(untrue);
+                    self.outcome.answers.insert(index, (self.now_us, answer));
+                }
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn send_start(
+        &mut self,
+        entry: usize,
+        worker: plan::Worker,
+        job: Job,
+        task: u16,
+        run: u64,
+        attempt: u32,
+        (slack_us, wait_us): (u64, u64),
+    ) {
+        let node = &mut self.entries[entry];
+        let Some(sidecar) = node.workers.iter().position(|key| *key == worker) else { return };
+        let Some(index) = node.jobs.get(&job).copied() else { return };
+        node.renewed_us[sidecar] = self.now_us;
+        let submission = &self.arrivals[index].submission;
+        let start = Start {
+            run,
+            task: format!("{}.{task}", submission.id).into(),
+            attempt,
+            spec: "".into(),
+            cores: submission.cores,
+            memory_mb: submission.memory_mb,
+            grant: node.grants[sidecar],
+            slack_us,
+            wait_us,
+        };
+        let at_us = self.arrives_us(entry, sidecar);
+        self.push(at_us, Event::Sidecar(entry, sidecar, ToSidecar::Start(start)));
+    }
+
+    pub(super) fn entry_hears(&mut self, sidecar: usize, entry: usize, message: ToEntry) {
+        let now_us = self.now_us;
+        let node = &mut self.entries[entry];
+        let worker = node.workers[sidecar];
+        match message {
+            ToEntry::Grant(grant) => {
+                node.grants[sidecar] = node.grants[sidecar].max(grant.number);
+                let worker::Grant { seen, free_cores, free_memory_mb, room_us, number } = grant;
+                node.planner.load(
+                    worker,
+                    Load { seen, free_cores, free_memory_mb, room_us },
+                    now_us,
+                );
+                if node.renewed_us[sidecar] + RENEW_US <= now_us {
+                    node.renewed_us[sidecar] = now_us;
+                    let at_us = self.arrives_us(entry, sidecar);
+                    self.push(at_us, Event::Sidecar(entry, sidecar, ToSidecar::Renew(number)));
+                }
+            }
+            ToEntry::Ended(end) => node.planner.ended(&end, now_us),
+            ToEntry::Progress(runs) => {
+                for progress in &runs {
+                    node.planner.progress(progress, now_us);
+                }
+            }
+            ToEntry::Refused(run) => node.planner.refused(run, now_us),
+            ToEntry::Profile(profile) => node.planner.profile(worker, profile, now_us),
+        }
+        self.settle_entry(entry);
+    }
+}
