Split the harness's cluster: faults, and what the programs tell

Kills, pauses, stops and changes of behaviour are in cluster/faults.rs, questions and waits in cluster/observe.rs; moved as they were.

--- a/crates/proof/src/harness/cluster.rs
+++ b/crates/proof/src/harness/cluster.rs
@@ -1,5 +1,8 @@
 //! A deployment of real programs.
 
+mod faults;
+mod observe;
+
 use std::{
     fs,
     net::SocketAddr,
@@ -9,19 +12,14 @@
 };
 
 use kingcup_dispatch::document::{Document, Kind, Urgency};
-use kingcup_standin::{
-    proxy,
-    store::{Control, Mode, Server},
-    upstream,
-};
-use kingcup_tools::load::metrics;
+use kingcup_standin::{proxy, store::Server};
 use serde::Deserialize;
 use ureq::Agent;
 
 use super::{
     caller::{Caller, Target},
     http, port,
-    process::{self, exit_code, Program},
+    process::{self, Program},
     record::Recorder,
     settings, until, Fault, Result,
 };
@@ -131,11 +129,6 @@
     pub message: String,
 }
 
-#[derive(Debug, Deserialize)]
-struct Status {
-    revisions: std::collections::BTreeMap<String, u64>,
-}
-
 /// An entry under the harness.
 #[derive(Debug)]
 pub struct Entry {
@@ -178,11 +171,6 @@
     pub end_us: Option<u64>,
 }
 
-#[derive(Debug, Deserialize)]
-struct Starts {
-    starts: Vec<Start>,
-}
-
 /// Running programs. Dropping it kills them.
 pub struct Cluster {
     /// What was started.
@@ -436,71 +424,6 @@
         Caller::new(Arc::clone(&self.recorder), SERVICE)
     }
 
-    /// Kills an entry.
-    pub fn kill_entry(&mut self, number: usize) {
-        self.recorder.fault(format!("kill entry{number}"));
-        if let Some(mut program) = self.entries[number].program.take() {
-            program.kill();
-        }
-    }
-
-    /// Kills a sidecar.
-    pub fn kill_sidecar(&mut self, number: usize) {
-        self.recorder.fault(format!("kill sidecar{number}"));
-        if let Some(mut program) = self.sidecars[number].program.take() {
-            program.kill();
-        }
-    }
-
-    /// Pauses an entry.
-    pub fn pause_entry(&self, number: usize) {
-        self.recorder.fault(format!("pause entry{number}"));
-        signal(self.entries[number].program.as_ref(), libc::SIGSTOP);
-    }
-
-    /// Resumes an entry.
-    pub fn resume_entry(&self, number: usize) {
-        self.recorder.fault(format!("resume entry{number}"));
-        signal(self.entries[number].program.as_ref(), libc::SIGCONT);
-    }
-
-    /// Pauses a sidecar.
-    pub fn pause_sidecar(&self, number: usize) {
-        self.recorder.fault(format!("pause sidecar{number}"));
-        signal(self.sidecars[number].program.as_ref(), libc::SIGSTOP);
-    }
-
-    /// Resumes a sidecar.
-    pub fn resume_sidecar(&self, number: usize) {
-        self.recorder.fault(format!("resume sidecar{number}"));
-        signal(self.sidecars[number].program.as_ref(), libc::SIGCONT);
-    }
-
-    /// Asks an entry to stop and waits for its end.
-    ///
-    /// # Errors
-    ///
-    /// `Timeout`.
-    pub fn stop_entry(&mut self, number: usize) -> Result<()> {
-        let entry = &mut self.entries[number];
-        let process = entry.settings.name.clone();
-        stop(&self.recorder, entry.program.take(), process, None)
-    }
-
-    /// Asks a sidecar to stop and waits for its end.
-    ///
-    /// # Errors
-    ///
-    /// `Timeout`.
-    pub fn stop_sidecar(&mut self, number: usize) -> Result<()> {
-        let sidecar = &mut self.sidecars[number];
-        let process = sidecar.settings.name.clone();
-        let upstream = sidecar.upstream_name.clone();
-        let leaving = Event::Leaving { at_us: now_us(), upstream: upstream.clone() };
-        self.recorder.add(leaving);
-        stop(&self.recorder, sidecar.program.take(), process, Some(upstream))
-    }
-
     /// Applies a document under a change ID with `kingcupctl`.
     ///
     /// # Errors
@@ -526,159 +449,6 @@
         Ok(applied)
     }
 
-    /// Has the store refuse or hang calls until `store_up`.
-    pub fn store_down(&self, mode: Mode) {
-        self.recorder.add(Event::StoreDown { at_us: now_us() });
-        self.store.control(&Control { mode: Some(mode), ..Control::default() });
-    }
-
-    /// Has the store answer again.
-    pub fn store_up(&self) {
-        self.store.control(&Control { mode: Some(Mode::Up), ..Control::default() });
-        self.recorder.add(Event::StoreUp { at_us: now_us() });
-    }
-
-    /// Asks all running processes which revision they have in effect; returns the lowest.
-    /// A process that does not answer counts as having none, but is not recorded.
-    pub fn observe(&self) -> u64 {
-        let entries = self.entries.iter().filter(|entry| entry.program.is_some());
-        let sidecars = self.sidecars.iter().filter(|sidecar| sidecar.program.is_some());
-        let entries = entries.map(|entry| (&entry.settings.name, entry.settings.admin));
-        let sidecars = sidecars.map(|sidecar| (&sidecar.settings.name, sidecar.settings.admin));
-        let revisions = entries.chain(sidecars).map(|(name, admin)| self.observe_at(name, admin));
-        revisions.min().unwrap_or(0)
-    }
-
-    fn observe_at(&self, name: &str, admin: SocketAddr) -> u64 {
-        let asked_us = now_us();
-        let Ok(reply) = http::get(&self.agent, admin, "/status") else { return 0 };
-        let Ok(status) = serde_json::from_slice::<Status>(&reply.body) else { return 0 };
-        let revision = status.revisions.get(SERVICE).copied().unwrap_or(0);
-        let (process, service) = (name.to_owned(), SERVICE.to_owned());
-        let at_us = now_us();
-        self.recorder.add(Event::Observed { asked_us, at_us, process, service, revision });
-        revision
-    }
-
-    /// Waits until all running processes have at least this revision in effect.
-    ///
-    /// # Errors
-    ///
-    /// `Timeout`.
-    pub fn wait_revision(&self, revision: u64) -> Result<()> {
-        let what = format!("revision {revision} everywhere");
-        until(&what, || (self.observe() >= revision).then_some(()))
-    }
-
-    /// Has a sidecar take no new work, without stopping it.
-    ///
-    /// # Errors
-    ///
-    /// If the sidecar does not accept the request.
-    pub fn drain_sidecar(&self, number: usize) -> Result<()> {
-        let sidecar = &self.sidecars[number];
-        let name = &sidecar.settings.name;
-        let wrong = |what: String| Fault::Unexpected(format!("drain of {name}: {what}"));
-        let reply = http::post(&self.agent, sidecar.settings.admin, "/drain", &[], b"");
-        let reply = reply.map_err(|error| wrong(error.to_string()))?;
-        if !(200..300).contains(&reply.status) {
-            return Err(wrong(format!("status {}", reply.status)));
-        }
-        let upstream = sidecar.upstream_name.clone();
-        self.recorder.add(Event::Leaving { at_us: now_us(), upstream });
-        Ok(())
-    }
-
-    /// Changes the behaviour of an upstream.
-    ///
-    /// # Errors
-    ///
-    /// If the stand-in does not take the change.
-    pub fn control_upstream(&self, number: usize, change: &upstream::Control) -> Result<()> {
-        let sidecar = &self.sidecars[number];
-        self.recorder.fault(format!("{}: {change:?}", sidecar.upstream_name));
-        let wrong = |what: String| Fault::Unexpected(format!("{}: {what}", sidecar.upstream_name));
-        let body = serde_json::to_vec(change).map_err(|error| wrong(error.to_string()))?;
-        let address = sidecar.settings.upstream;
-        match http::post(&self.agent, address, "/control", &[], &body) {
-            Ok(reply) if reply.status == 200 => Ok(()),
-            Ok(reply) => Err(wrong(format!("status {}", reply.status))),
-            Err(error) => Err(wrong(error.to_string())),
-        }
-    }
-
-    /// Messages between the processes so far, as the running entries count them.
-    ///
-    /// # Errors
-    ///
-    /// If an entry does not answer.
-    pub fn messages(&self) -> Result<f64> {
-        let running = self.entries.iter().filter(|entry| entry.program.is_some());
-        let admins: Vec<_> = running.map(|entry| entry.settings.admin).collect();
-        let reading = metrics::read_all(&admins);
-        Ok(reading.map_err(|fault| Fault::Unexpected(fault.to_string()))?.messages)
-    }
-
-    /// Starts that an upstream has seen so far.
-    ///
-    /// # Errors
-    ///
-    /// If the stand-in does not answer.
-    pub fn starts(&self, number: usize) -> Result<Vec<Start>> {
-        let sidecar = &self.sidecars[number];
-        let name = &sidecar.upstream_name;
-        let wrong = |what: String| Fault::Unexpected(format!("starts of {name}: {what}"));
-        let reply = http::get(&self.agent, sidecar.settings.upstream, "/starts");
-        let reply = reply.map_err(|error| wrong(error.to_string()))?;
-        let starts: Starts =
-            serde_json::from_slice(&reply.body).map_err(|error| wrong(error.to_string()))?;
-        Ok(starts.starts)
-    }
-
-    /// Number of starts that all upstreams have seen so far.
-    ///
-    /// # Errors
-    ///
-    /// If a stand-in does not answer.
-    pub fn count_starts(&self) -> Result<usize> {
-        let mut count = 0;
-        for number in 0..self.sidecars.len() {
-            count += self.starts(number)?.len();
-        }
-        Ok(count)
-    }
-
-    /// Waits until the upstreams have seen at least this many starts.
-    ///
-    /// # Errors
-    ///
-    /// `Timeout`, or if a stand-in does not answer.
-    pub fn wait_starts(&self, count: usize) -> Result<()> {
-        until(&format!("{count} starts"), || match self.count_starts() {
-            Ok(seen) if seen >= count => Some(Ok(())),
-            Ok(_) => None,
-            Err(fault) => Some(Err(fault)),
-        })?
-    }
-
-    /// Waits until no task runs at any upstream.
-    ///
-    /// # Errors
-    ///
-    /// `Timeout`, or if a stand-in does not answer.
-    pub fn wait_idle(&self) -> Result<()> {
-        until("end of all tasks", || {
-            for number in 0..self.sidecars.len() {
-                match self.starts(number) {
-                    Ok(starts) if starts.iter().all(|start| start.end_us.is_some()) => {}
-                    Ok(_) => return None,
-                    Err(fault) => return Some(Err(fault)),
-                }
-            }
-            Some(Ok(()))
-        })?
-    }
-
     /// Collects the upstreams' starts and checks the history.
     ///
     /// # Errors
@@ -728,24 +498,3 @@
     let arguments = ["--settings".to_owned(), path.display().to_string()];
     process::spawn(&format!("kingcup-{role}"), name, &arguments, folder)
 }
-
-fn signal(program: Option<&Program>, signal: i32) {
-    if let Some(program) = program {
-        program.signal(signal);
-    }
-}
-
-fn stop(
-    recorder: &Recorder,
-    program: Option<Program>,
-    process: String,
-    upstream: Option<String>,
-) -> Result<()> {
-    let Some(mut program) = program else { return Ok(()) };
-    println!("{} stop {process}", now_us());
-    recorder.add(Event::Stopping { at_us: now_us(), process: process.clone(), upstream });
-    program.signal(libc::SIGTERM);
-    let status = program.wait_end()?;
-    recorder.add(Event::Stopped { at_us: now_us(), process, exit_code: exit_code(status) });
-    Ok(())
-}
