Log answers that cannot be written and datagrams that are not sent

An answer whose body could not be written was empty without a line, and so was a failed send. The status of such an answer holds, and datagrams are repeated where it matters, so what is sent does not change.

--- a/crates/node/src/datagram.rs
+++ b/crates/node/src/datagram.rs
@@ -51,7 +51,10 @@
     pub fn send(&mut self, to: SocketAddr, frame: &Frame<'_>) -> Result<(), Fault> {
         let data = seal_datagram(&self.key, frame)?;
         self.sent_bytes += data.len() as u64;
-        let _ = self.socket.send_to(&data, to);
+        // Datagrams may be lost at any point; what matters is sent again.
+        if let Err(error) = self.socket.send_to(&data, to) {
+            log::debug!("event=datagram_unsent to={to} error=\"{error}\"");
+        }
         Ok(())
     }
 
--- a/crates/node/src/entry/admin.rs
+++ b/crates/node/src/entry/admin.rs
@@ -101,7 +101,7 @@
             entries: self.entry_statuses(),
             tables: self.tables().into_iter().map(|row| (row.of.to_string(), row.value)).collect(),
         };
-        Answer::json(200, serde_json::to_vec(&status).unwrap_or_default())
+        Answer::json(200, crate::http::encode(&status))
     }
 
     fn sidecar_statuses(&self) -> Vec<SidecarStatus<'_>> {
--- a/crates/node/src/entry/api.rs
+++ b/crates/node/src/entry/api.rs
@@ -364,7 +364,7 @@
         may_resubmit: code.may_resubmit(),
         answers,
     };
-    serde_json::to_vec(&body).unwrap_or_default()
+    crate::http::encode(&body)
 }
 
 fn raw(answer: &[u8]) -> Box<RawValue> {
--- a/crates/node/src/entry/callers.rs
+++ b/crates/node/src/entry/callers.rs
@@ -214,7 +214,7 @@
         }
         self.waves.expect(wave, away.len());
         for (peer, jobs) in away {
-            let body = serde_json::to_vec(&api::CancelBody { jobs }).unwrap_or_default();
+            let body = crate::http::encode(&api::CancelBody { jobs });
             let ask = ask(Verb::Cancel, String::new(), body);
             self.forward(peer, ask, Waiter::Wave(wave), now_us);
         }
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -77,6 +77,14 @@
     pub body: Vec<u8>,
 }
 
+/// Body of an answer. One that cannot be written is empty, and logged: its status still holds.
+pub(crate) fn encode(body: &impl serde::Serialize) -> Vec<u8> {
+    serde_json::to_vec(body).unwrap_or_else(|error| {
+        log::error!("event=answer_unwritable error=\"{error}\"");
+        Vec::new()
+    })
+}
+
 impl Answer {
     /// A JSON answer.
     pub fn json(status: u16, body: impl Into<Vec<u8>>) -> Self {
