Handle the events of connections between daemons in one place

The entry and the sidecar for runs had the same lines for writing, noting an established connection, reading and closing. Same order and reasons as before; tests with real processes pass.

--- a/crates/node/src/runs.rs
+++ b/crates/node/src/runs.rs
@@ -4,6 +4,7 @@
 pub mod border;
 pub mod document;
 pub mod entry;
+mod input;
 pub mod mesh;
 pub mod metrics;
 pub mod settings;
--- a/crates/node/src/runs/entry/links.rs
+++ b/crates/node/src/runs/entry/links.rs
@@ -12,7 +12,10 @@
 use super::{Entry, Peer, ENTRY_SILENT_US, PEERS_DELAY_US, RENEW_US, SILENT_US};
 use crate::{
     link::{Id, Input},
-    runs::translate,
+    runs::{
+        input::{self, Brought},
+        translate,
+    },
 };
 
 impl Entry {
@@ -103,19 +106,15 @@
 
     pub(super) fn link_ready(&mut self, cx: CX![], link: Id, ready: Ready) {
         let now_us = self.wake();
-        if ready.is_writable() && !self.links.writable(link) {
-            self.close(link, "write", now_us);
-            return self.settle(cx, now_us);
-        }
-        if ready.is_writable() {
-            self.mesh.established(link);
-        }
-        let Some(mut input) = self.links.read(link, now_us) else { return };
-        let sound = self.messages(link, &mut input, now_us);
-        match self.links.put_back(link, input) {
-            Some(closed) => self.close(link, &format!("\"{closed:?}\""), now_us),
-            None if !sound => self.close(link, "unexpected_message", now_us),
-            None => {}
+        match input::take(&mut self.links, &mut self.mesh, link, ready, now_us) {
+            Brought::Nothing => return,
+            Brought::Failed => self.close(link, "write", now_us),
+            Brought::Messages(mut input) => {
+                let sound = self.messages(link, &mut input, now_us);
+                if let Some(reason) = input::finish(&mut self.links, link, input, sound) {
+                    self.close(link, &reason, now_us);
+                }
+            }
         }
         self.settle(cx, now_us);
     }
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -18,6 +18,7 @@
 use self::upstream::Token;
 use super::{
     border::{self, Heard},
+    input::{self, Brought},
     mesh::Mesh,
     metrics, settings, translate,
 };
@@ -177,19 +178,15 @@
 
     fn link_ready(&mut self, cx: CX![], link: Id, ready: Ready) {
         let now_us = self.wake();
-        if ready.is_writable() && !self.links.writable(link) {
-            self.close(link, "write", now_us);
-            return self.settle(cx, now_us);
-        }
-        if ready.is_writable() {
-            self.mesh.established(link);
-        }
-        let Some(mut input) = self.links.read(link, now_us) else { return };
-        let sound = self.messages(link, &mut input, now_us);
-        match self.links.put_back(link, input) {
-            Some(closed) => self.close(link, &format!("\"{closed:?}\""), now_us),
-            None if !sound => self.close(link, "unexpected_message", now_us),
-            None => {}
+        match input::take(&mut self.links, &mut self.mesh, link, ready, now_us) {
+            Brought::Nothing => return,
+            Brought::Failed => self.close(link, "write", now_us),
+            Brought::Messages(mut input) => {
+                let sound = self.messages(link, &mut input, now_us);
+                if let Some(reason) = input::finish(&mut self.links, link, input, sound) {
+                    self.close(link, &reason, now_us);
+                }
+            }
         }
         self.settle(cx, now_us);
     }
