Read the heads of HTTP messages in one place, and bound a test's wait

Request and response had the same lines for a head that is cut, too long or malformed. A complete head without method, path or status is malformed instead of empty or zero. The wait for a task's start in a test had no end.

--- a/crates/node/src/web/message.rs
+++ b/crates/node/src/web/message.rs
@@ -80,11 +80,18 @@
     Some((head + len, body.to_vec()))
 }
 
-fn partial(data: &[u8], limits: Limits) -> Result<(), Wrong> {
-    if data.len() > limits.head_bytes {
-        return Err(Wrong::TooLarge);
+/// Length of a head; `None` if it is not complete.
+fn head_len(
+    parsed: httparse::Result<usize>,
+    data: &[u8],
+    limits: Limits,
+) -> Result<Option<usize>, Wrong> {
+    match parsed {
+        Ok(httparse::Status::Complete(head)) => Ok(Some(head)),
+        Ok(httparse::Status::Partial) if data.len() > limits.head_bytes => Err(Wrong::TooLarge),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(_) => Err(Wrong::Malformed),
     }
-    Ok(())
 }
 
 impl Request {
@@ -107,16 +114,12 @@
     pub fn parse(data: &[u8], limits: Limits) -> Result<Option<(usize, Self)>, Wrong> {
         let mut headers = [httparse::EMPTY_HEADER; HEADERS];
         let mut parsed = httparse::Request::new(&mut headers);
-        let head = match parsed.parse(data) {
-            Ok(httparse::Status::Complete(head)) => head,
-            Ok(httparse::Status::Partial) => return partial(data, limits).map(|()| None),
-            Err(_) => return Err(Wrong::Malformed),
-        };
+        let Some(head) = head_len(parsed.parse(data), data, limits)? else { return Ok(None) };
         let headers = owned(parsed.headers);
         let len = body_len(&headers, limits)?;
         let Some((used, body)) = body(data, head, len) else { return Ok(None) };
-        let method = parsed.method.unwrap_or_default().to_owned();
-        let path = parsed.path.unwrap_or_default().to_owned();
+        let method = parsed.method.ok_or(Wrong::Malformed)?.to_owned();
+        let path = parsed.path.ok_or(Wrong::Malformed)?.to_owned();
         Ok(Some((used, Self { method, path, headers, body })))
     }
 
@@ -155,15 +158,12 @@
     pub fn parse(data: &[u8], limits: Limits) -> Result<Option<(usize, Self)>, Wrong> {
         let mut headers = [httparse::EMPTY_HEADER; HEADERS];
         let mut parsed = httparse::Response::new(&mut headers);
-        let head = match parsed.parse(data) {
-            Ok(httparse::Status::Complete(head)) => head,
-            Ok(httparse::Status::Partial) => return partial(data, limits).map(|()| None),
-            Err(_) => return Err(Wrong::Malformed),
-        };
+        let Some(head) = head_len(parsed.parse(data), data, limits)? else { return Ok(None) };
         let headers = owned(parsed.headers);
         let len = body_len(&headers, limits)?;
         let Some((used, body)) = body(data, head, len) else { return Ok(None) };
-        Ok(Some((used, Self { status: parsed.code.unwrap_or_default(), headers, body })))
+        let status = parsed.code.ok_or(Wrong::Malformed)?;
+        Ok(Some((used, Self { status, headers, body })))
     }
 
     /// Appends the response to `out`.
--- a/crates/node/tests/upstream.rs
+++ b/crates/node/tests/upstream.rs
@@ -9,7 +9,7 @@
         Arc,
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use kingcup_dispatch::{
@@ -23,6 +23,9 @@
 const LOOPBACK: SocketAddr =
     SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
 
+/// Longest wait for the start of a task.
+const START: Duration = Duration::from_secs(10);
+
 fn call(body: &str, timeout_ms: u64) -> Call {
     Call {
         slot: Slot::default(),
@@ -68,7 +71,9 @@
     let outcome = thread::scope(|scope| {
         let running =
             scope.spawn(|| run(&agent, server.address(), &call(r#"{"sleep_ms": 300}"#, 2_000)));
+        let end = Instant::now() + START;
         while server.starts().is_empty() {
+            assert!(Instant::now() < end, "the task has not started");
             thread::sleep(Duration::from_millis(1));
         }
         server.control(&Control { refuse_ms: Some(100), ..Control::default() });
