--- a/crates/bench/src/runs/world/entries.rs
+++ b/crates/bench/src/runs/world/entries.rs
@@ -16,7 +16,24 @@
         for effect in effects {
             match effect {
                 plan::Effect::Start { worker, job, task, run, attempt, slack_us, wait_us } => {
-                    self.send_start(entry, worker, job, task, run, attempt, (slack_us, wait_us));
+                    let Some((sidecar, index)) = self.place_of(entry, worker, job) else {
+                        continue;
+                    };
+                    let submission = &self.arrivals[index].submission;
+                    let start = Start {
+                        run,
+                        task: format!("{}.{task}", submission.id).into(),
+                        attempt,
+                        spec: "".into(),
+                        cores: submission.cores,
+                        memory_mb: submission.memory_mb,
+                        grant: self.entries[entry].grants[sidecar],
+                        slack_us,
+                        wait_us,
+                    };
+                    self.entries[entry].renewed_us[sidecar] = self.now_us;
+                    let at_us = self.arrives_us(entry, sidecar);
+                    self.push(at_us, Event::Sidecar(entry, sidecar, ToSidecar::Start(start)));
                 }
                 plan::Effect::Stop { worker, run } => {
                     let node = &self.entries[entry];
@@ -39,35 +56,11 @@
         }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn send_start(
-        &mut self,
-        entry: usize,
-        worker: plan::Worker,
-        job: Job,
-        task: u16,
-        run: u64,
-        attempt: u32,
-        (slack_us, wait_us): (u64, u64),
-    ) {
-        let node = &mut self.entries[entry];
-        let Some(sidecar) = node.workers.iter().position(|key| *key == worker) else { return };
-        let Some(index) = node.jobs.get(&job).copied() else { return };
-        node.renewed_us[sidecar] = self.now_us;
-        let submission = &self.arrivals[index].submission;
-        let start = Start {
-            run,
-            task: format!("{}.{task}", submission.id).into(),
-            attempt,
-            spec: "".into(),
-            cores: submission.cores,
-            memory_mb: submission.memory_mb,
-            grant: node.grants[sidecar],
-            slack_us,
-            wait_us,
-        };
-        let at_us = self.arrives_us(entry, sidecar);
-        self.push(at_us, Event::Sidecar(entry, sidecar, ToSidecar::Start(start)));
+    /// Sidecar of a worker, and arrival of a job.
+    fn place_of(&self, entry: usize, worker: plan::Worker, job: Job) -> Option<(usize, usize)> {
+        let node = &self.entries[entry];
+        let sidecar = node.workers.iter().position(|key| *key == worker)?;
+        Some((sidecar, *node.jobs.get(&job)?))
     }
 
     pub(super) fn entry_hears(&mut self, sidecar: usize, entry: usize, message: ToEntry) {
