Connect each sidecar to a subset of six entries

Change: kingcup_dispatch::subset ranks entries by rendezvous hashing, three places first for the own availability zone; the mesh of a sidecar dials these, replaces what it cannot reach for 0.5 s, and leaves what it does not need once the entry has no runs there. Lists of entries carry their zone and are sent when they change or every 4 s. A lease is renewed every 60 ms only while runs depend on it. Sidecars request a configuration that they lack instead of being sent it by an entry that may not be connected. Grants tell how many entries share a sidecar, by which admission scales what waits elsewhere.

--- a/crates/bench/src/runs/world.rs
+++ b/crates/bench/src/runs/world.rs
@@ -13,6 +13,7 @@
 use fastrand::Rng;
 use kingcup_dispatch::{
     plan::{Answer, Planner, Submission},
+    subset::{self, Candidate},
     worker::{self, Profile, Reply, Supervisor},
 };
 
@@ -25,8 +26,10 @@
 const CALL_US: u64 = 300;
 /// Longest sleep of a process, in microseconds.
 const SLEEP_US: u64 = 100_000;
-/// Shortest time between two renewals, in microseconds.
+/// Shortest time between two renewals at a sidecar that holds runs of the entry, in microseconds.
 const RENEW_US: u64 = 60_000;
+/// Shortest time between two renewals at a sidecar that holds none, in microseconds.
+const IDLE_RENEW_US: u64 = 250_000;
 
 /// Size and service of a world.
 #[derive(Debug, Clone, Copy)]
@@ -37,6 +40,38 @@
     pub sidecars: usize,
     /// Cores of an upstream, in thousandths.
     pub cores: u32,
+    /// Number of availability zones, over which entries and sidecars are spread.
+    pub zones: usize,
+    /// Whether sidecars connect to a subset of the entries, as in the daemons, or to all.
+    pub limited: bool,
+    /// Whether some entries get up to three times as many callers as others.
+    pub skewed: bool,
+}
+
+impl Size {
+    /// Draws the entry at which a job arrives.
+    fn draw_entry(&self, rng: &mut Rng) -> usize {
+        loop {
+            let entry = rng.usize(0..self.entries);
+            let weight = if self.skewed { 1 + entry % 3 } else { 3 };
+            if rng.usize(0..3) < weight {
+                return entry;
+            }
+        }
+    }
+
+    /// Returns the entries to which a sidecar is connected.
+    fn entries_of(&self, sidecar: usize) -> Vec<usize> {
+        if !self.limited {
+            return (0..self.entries).collect();
+        }
+        let name = format!("sidecar-{sidecar}");
+        subset::choose((0..self.entries).map(|entry| Candidate {
+            id: entry,
+            weight: subset::weight(&name, &format!("entry-{entry}")),
+            local: entry % self.zones == sidecar % self.zones,
+        }))
+    }
 }
 
 /// A process.
@@ -84,6 +119,19 @@
     pub busy: f64,
     /// Starts that upstreams carried out.
     pub starts: u64,
+    /// Messages between entries and sidecars.
+    pub messages: Messages,
+}
+
+/// Numbers of messages by kind.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Messages {
+    /// Grants with load reports.
+    pub grants: u64,
+    /// Renewals of leases.
+    pub renewals: u64,
+    /// Starts, stops, refusals, ends and reports of progress.
+    pub runs: u64,
 }
 
 /// A world.
@@ -133,7 +181,7 @@
         world.connect(seed);
         for index in 0..world.arrivals.len() {
             let at_us = world.arrivals[index].at_us;
-            let entry = world.rng.usize(0..size.entries);
+            let entry = size.draw_entry(&mut world.rng);
             world.push(at_us, Event::Arrive(entry, index, false));
         }
         for (at_us, fault) in faults {
@@ -144,15 +192,9 @@
 
     fn connect(&mut self, seed: u64) {
         for entry in 0..self.size.entries {
-            let mut planner = Planner::open(seed + entry as u64);
-            planner.set_entries(self.size.entries);
-            let workers = (0..self.size.sidecars)
-                .map(|sidecar| planner.connected(&format!("sidecar-{sidecar}"), 1, 1, &[], 0))
-                .map(|worker| worker.expect("the first connection is the newest"))
-                .collect();
             self.entries.push(EntryNode {
-                planner,
-                workers,
+                planner: Planner::open(seed + entry as u64),
+                workers: vec![None; self.size.sidecars],
                 jobs: HashMap::new(),
                 grants: vec![0; self.size.sidecars],
                 renewed_us: vec![0; self.size.sidecars],
@@ -162,9 +204,13 @@
         }
         for sidecar in 0..self.size.sidecars {
             let mut supervisor = Supervisor::open();
-            let entries = (0..self.size.entries)
-                .map(|entry| supervisor.connected(&format!("entry-{entry}"), 1, 0).0)
-                .collect();
+            let mut entries = vec![None; self.size.entries];
+            for entry in self.size.entries_of(sidecar) {
+                let node = &mut self.entries[entry];
+                let worker = node.planner.connected(&format!("sidecar-{sidecar}"), 1, 1, &[], 0);
+                node.workers[sidecar] = worker;
+                entries[entry] = Some(supervisor.connected(&format!("entry-{entry}"), 1, 0).0);
+            }
             let profile = Profile {
                 incarnation: 1,
                 name: format!("upstream-{sidecar}").into(),
--- a/crates/bench/src/runs/world/entries.rs
+++ b/crates/bench/src/runs/world/entries.rs
@@ -7,7 +7,7 @@
 
 use super::{
     event::{Event, ToEntry, ToSidecar},
-    World, RENEW_US,
+    World, IDLE_RENEW_US, RENEW_US,
 };
 
 impl World {
@@ -37,7 +37,8 @@
                 }
                 plan::Effect::Stop { worker, run } => {
                     let node = &self.entries[entry];
-                    if let Some(sidecar) = node.workers.iter().position(|key| *key == worker) {
+                    if let Some(sidecar) = node.workers.iter().position(|key| *key == Some(worker))
+                    {
                         let at_us = self.arrives_us(entry, sidecar);
                         self.push(at_us, Event::Sidecar(entry, sidecar, ToSidecar::Stop(run)));
                     }
@@ -59,14 +60,18 @@
     /// Sidecar of a worker, and arrival of a job.
     fn place_of(&self, entry: usize, worker: plan::Worker, job: Job) -> Option<(usize, usize)> {
         let node = &self.entries[entry];
-        let sidecar = node.workers.iter().position(|key| *key == worker)?;
+        let sidecar = node.workers.iter().position(|key| *key == Some(worker))?;
         Some((sidecar, *node.jobs.get(&job)?))
     }
 
     pub(super) fn entry_hears(&mut self, sidecar: usize, entry: usize, message: ToEntry) {
         let now_us = self.now_us;
+        match message {
+            ToEntry::Grant(_) => self.outcome.messages.grants += 1,
+            _ => self.outcome.messages.runs += 1,
+        }
         let node = &mut self.entries[entry];
-        let worker = node.workers[sidecar];
+        let Some(worker) = node.workers[sidecar] else { return };
         match message {
             ToEntry::Grant(grant) => {
                 node.grants[sidecar] = node.grants[sidecar].max(grant.number);
@@ -76,6 +81,7 @@
                     free_memory_mb,
                     expected_wait_us,
                     number,
+                    entries,
                 } = grant;
                 node.planner.load(
                     worker,
@@ -84,10 +90,13 @@
                         free_cores,
                         free_memory_mb,
                         available_in_us: expected_wait_us,
+                        entries: entries as u16,
                     },
                     now_us,
                 );
-                if node.renewed_us[sidecar] + RENEW_US <= now_us {
+                let has_runs = node.planner.has_runs(worker);
+                let interval_us = if has_runs { RENEW_US } else { IDLE_RENEW_US };
+                if node.renewed_us[sidecar] + interval_us <= now_us {
                     node.renewed_us[sidecar] = now_us;
                     let at_us = self.arrives_us(entry, sidecar);
                     self.push(at_us, Event::Sidecar(entry, sidecar, ToSidecar::Renew(number)));
--- a/crates/bench/src/runs/world/event.rs
+++ b/crates/bench/src/runs/world/event.rs
@@ -68,7 +68,7 @@
 
 pub(super) struct EntryNode {
     pub(super) planner: Planner,
-    pub(super) workers: Vec<plan::Worker>,
+    pub(super) workers: Vec<Option<plan::Worker>>,
     pub(super) jobs: HashMap<Job, usize>,
     pub(super) grants: Vec<u64>,
     pub(super) renewed_us: Vec<u64>,
@@ -77,7 +77,7 @@
 
 pub(super) struct SidecarNode {
     pub(super) supervisor: Supervisor,
-    pub(super) entries: Vec<Entry>,
+    pub(super) entries: Vec<Option<Entry>>,
     pub(super) upstream: Upstream,
     /// The look that waits at the upstream: its number and the time until which it waits.
     pub(super) waiting: Option<(u64, u64)>,
--- a/crates/bench/src/runs/world/sidecars.rs
+++ b/crates/bench/src/runs/world/sidecars.rs
@@ -13,8 +13,12 @@
 impl World {
     pub(super) fn sidecar_hears(&mut self, entry: usize, sidecar: usize, message: ToSidecar) {
         let now_us = self.now_us;
+        match message {
+            ToSidecar::Renew(_) => self.outcome.messages.renewals += 1,
+            _ => self.outcome.messages.runs += 1,
+        }
         let node = &mut self.sidecars[sidecar];
-        let key = node.entries[entry];
+        let Some(key) = node.entries[entry] else { return };
         match message {
             ToSidecar::Renew(number) => node.supervisor.renew(key, number),
             ToSidecar::Start(start) => node.supervisor.start(key, start, now_us),
@@ -68,7 +72,7 @@
             }
             worker::Effect::Profile => {
                 let Some(profile) = self.sidecars[sidecar].supervisor.profile() else { return };
-                for entry in self.sidecars[sidecar].entries.clone() {
+                for entry in self.sidecars[sidecar].entries.clone().into_iter().flatten() {
                     self.tell(sidecar, entry, ToEntry::Profile(profile.clone()));
                 }
             }
@@ -76,7 +80,7 @@
     }
 
     fn tell(&mut self, sidecar: usize, key: Entry, message: ToEntry) {
-        let entry = self.sidecars[sidecar].entries.iter().position(|known| *known == key);
+        let entry = self.sidecars[sidecar].entries.iter().position(|known| *known == Some(key));
         if let Some(entry) = entry {
             let at_us = self.arrives_us(entry, sidecar);
             self.push(at_us, Event::Entry(sidecar, entry, message));
--- a/crates/bench/tests/runs.rs
+++ b/crates/bench/tests/runs.rs
@@ -8,7 +8,8 @@
 use rstest::rstest;
 
 /// The users' entries and upstreams today.
-const SIZE: Size = Size { entries: 4, sidecars: 11, cores: 32_000 };
+const SIZE: Size =
+    Size { entries: 4, sidecars: 11, cores: 32_000, zones: 4, limited: true, skewed: false };
 const TIME_US: u64 = 12_000_000;
 const TAIL_US: u64 = 16_000_000;
 /// Part of the worth that the users ask for on days with trouble; from their second milestone.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod retry;
 pub mod route;
 pub mod routes;
+pub mod subset;
 pub mod worker;
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -96,8 +96,6 @@
     settled_us: u64,
     /// Highest number of workers that have accepted work at the same time since the start.
     max_accepting: usize,
-    /// Number of entries that share the workers, including this one.
-    entries: u64,
     last_event_us: u64,
     random: fastrand::Rng,
     effects: Vec<Effect>,
@@ -119,7 +117,6 @@
             backlog_means: HashMap::new(),
             settled_us: 0,
             max_accepting: 0,
-            entries: 1,
             last_event_us: 0,
             random: fastrand::Rng::with_seed(seed),
             effects: Vec::new(),
@@ -150,11 +147,6 @@
         }
     }
 
-    /// Sets the number of entries that share the workers, including this one.
-    pub fn set_entries(&mut self, entries: usize) {
-        self.entries = entries.max(1) as u64;
-    }
-
     /// Returns the number of connected workers that accept work.
     pub fn accepting(&self) -> usize {
         self.workers.values().filter(|member| member.connected && member.profile.ready).count()
--- a/crates/dispatch/src/plan/admission.rs
+++ b/crates/dispatch/src/plan/admission.rs
@@ -8,7 +8,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use super::{job::Task, Job, Planner};
+use super::{job::Task, worker::Capacity, Job, Planner};
 
 /// Time over which the load of a kind is averaged, in microseconds. It is longer than a burst, so
 /// that one burst does not take away a kind's whole value at once.
@@ -108,19 +108,19 @@
         Decision::Accept
     }
 
-    /// Returns the time that a job would wait for the work ahead of it at all entries, or `None` if
-    /// no worker accepts work for its service.
+    /// Returns the time that a job would wait for the work ahead of it at all entries that share the
+    /// workers, or `None` if no worker accepts work for its service.
     fn wait_us(&mut self, key: Job, now_us: u64) -> Option<u64> {
         let job = &self.jobs[key];
-        let capacity = self.capacity(&job.submission.service);
-        if capacity == 0 {
+        let Capacity { cores, sharers } = self.capacity(&job.submission.service);
+        if cores == 0 {
             return None;
         }
         let (rank, service) = (job.rank(), job.submission.service.clone());
         let ahead = self.backlog(&service, rank);
         let class_end = job.class_end();
-        let others = (self.entries - 1) as f64 * self.mean_backlog(&service, class_end, now_us);
-        Some(((ahead + others) / capacity as f64) as u64)
+        let others = (sharers - 1.0).max(0.0) * self.mean_backlog(&service, class_end, now_us);
+        Some(((ahead + others) / cores as f64) as u64)
     }
 
     /// Returns the work that waits here for a service up to a rank, in thousandths of
--- a/crates/dispatch/src/plan/job.rs
+++ b/crates/dispatch/src/plan/job.rs
@@ -7,7 +7,7 @@
 use super::{
     action::{Answer, Effect},
     admission::Decision,
-    Planner, Worker, LATE_FACTOR, RETRY_RANGE_MS,
+    Planner, Start, Worker, LATE_FACTOR, RETRY_RANGE_MS,
 };
 use crate::worker::{End, Outcome};
 
@@ -384,7 +384,7 @@
 
     /// Handles the end of a run that a sidecar reported.
     pub fn ended(&mut self, end: &End, now_us: u64) {
-        let Some(start) = self.runs.remove(&end.run) else { return };
+        let Some(start) = self.remove_run(end.run) else { return };
         let worker = start.worker;
         if let Some(member) = self.workers.get_mut(worker) {
             member.unreported.retain(|(run, _, _)| *run != end.run);
@@ -432,7 +432,7 @@
 
     /// Handles a sidecar's refusal of a start, which was not carried out and never will be.
     pub fn refused(&mut self, run: u64, now_us: u64) {
-        let Some(start) = self.runs.remove(&run) else { return };
+        let Some(start) = self.remove_run(run) else { return };
         if let Some(member) = self.workers.get_mut(start.worker) {
             member.record_refusal(run, now_us);
         }
@@ -449,6 +449,15 @@
         }
     }
 
+    /// Removes a run that has ended or was refused.
+    fn remove_run(&mut self, run: u64) -> Option<Start> {
+        let start = self.runs.remove(&run)?;
+        if let Some(member) = self.workers.get_mut(start.worker) {
+            member.runs -= 1;
+        }
+        Some(start)
+    }
+
     /// Marks a task as waiting again and queues its job.
     fn requeue(&mut self, key: Key, index: usize, now_us: u64) {
         self.jobs[key].tasks[index] = Task::Waiting;
--- a/crates/dispatch/src/plan/worker.rs
+++ b/crates/dispatch/src/plan/worker.rs
@@ -42,6 +42,17 @@
     pub free_memory_mb: i32,
     /// Time until capacity for one more start is expected, in microseconds.
     pub available_in_us: Option<u32>,
+    /// Number of entries that share the worker; 0 if unknown.
+    pub entries: u16,
+}
+
+/// Capacity of the workers that an entry is connected to.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Capacity {
+    /// Cores, in thousandths.
+    pub cores: u64,
+    /// Mean number of entries that share a core, including this one.
+    pub sharers: f64,
 }
 
 /// State of one worker.
@@ -68,6 +79,8 @@
     last_failed_job: Option<Job>,
     /// Time until which the worker gets no new work.
     pub avoid_until_us: u64,
+    /// Number of runs that were sent here and have neither ended nor been refused.
+    pub runs: usize,
 }
 
 impl Member {
@@ -115,6 +128,7 @@
     /// Records a start that was sent.
     pub fn record_start(&mut self, run: u64, cores: u32, memory_mb: u32, now_us: u64) {
         self.unreported.push((run, cores, memory_mb));
+        self.runs += 1;
         if self.is_failing() {
             self.avoid_until_us = now_us + PROBE_INTERVAL_US;
         }
@@ -212,6 +226,7 @@
                 failures: 0.0,
                 last_failed_job: None,
                 avoid_until_us: 0,
+                runs: 0,
             })
         });
         // A new incarnation accepts work only once it has ended the runs of the old one.
@@ -300,13 +315,25 @@
         }
     }
 
-    /// Returns the cores of all connected workers of a service that accept work, in thousandths.
-    pub(super) fn capacity(&self, service: &str) -> u64 {
-        self.workers
+    /// Returns the capacity of all connected workers of a service that accept work.
+    pub(super) fn capacity(&self, service: &str) -> Capacity {
+        let accepting = self
+            .workers
             .values()
             .filter(|member| member.connected && member.profile.ready)
-            .filter(|member| *member.profile.service == *service)
-            .map(|member| u64::from(member.profile.cores))
-            .sum()
+            .filter(|member| *member.profile.service == *service);
+        let mut cores = 0;
+        let mut shares = 0;
+        for member in accepting {
+            let member_cores = u64::from(member.profile.cores);
+            cores += member_cores;
+            shares += member_cores * u64::from(member.load.entries);
+        }
+        Capacity { cores, sharers: shares as f64 / cores.max(1) as f64 }
+    }
+
+    /// Returns whether runs at a worker depend on the lease of this entry there.
+    pub fn has_runs(&self, worker: Worker) -> bool {
+        self.workers.get(worker).is_some_and(|member| member.runs > 0)
     }
 }
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -44,7 +44,7 @@
 /// Shortest time between two grants that are sent because the load changed, in microseconds. It is
 /// multiplied by the number of connected entries, so that the rate of these messages does not grow
 /// with that number.
-pub const LOAD_INTERVAL_US: u64 = 2_500;
+pub const LOAD_INTERVAL_US: u64 = 5_000;
 /// Time after which a stop is sent again if its run is still listed, in microseconds.
 const STOP_RETRY_US: u64 = 60_000;
 /// Time after which the first order for a start counts as unanswered, in microseconds. An upstream
--- a/crates/dispatch/src/worker/action.rs
+++ b/crates/dispatch/src/worker/action.rs
@@ -83,6 +83,8 @@
     pub free_memory_mb: i32,
     /// Time until capacity is expected for one more start, in microseconds; `None` if unknown.
     pub expected_wait_us: Option<u32>,
+    /// Number of entries that share the upstream: those connected to this sidecar.
+    pub entries: usize,
 }
 
 /// An order to the upstream about one run.
--- a/crates/dispatch/src/worker/entry.rs
+++ b/crates/dispatch/src/worker/entry.rs
@@ -105,6 +105,11 @@
         }
     }
 
+    /// Returns whether runs or waiting starts of an entry are held here.
+    pub fn has_runs(&self, entry: Entry) -> bool {
+        self.runs.values().any(|run| run.entry == entry)
+    }
+
     /// Renews the lease of an entry that has returned the grant with this number.
     pub fn renew(&mut self, entry: Entry, number: u64) {
         if let Some(peer) = self.entries.get_mut(entry) {
@@ -127,11 +132,15 @@
         if peer.grant_now {
             return 0;
         }
-        let connected = self.entries.values().filter(|peer| peer.connected).count() as u64;
+        let connected = self.connected_entries() as u64;
         let interval = (LOAD_INTERVAL_US * connected).min(GRANT_INTERVAL_US);
         peer.granted_us + if self.load_changed { interval } else { GRANT_INTERVAL_US }
     }
 
+    fn connected_entries(&self) -> usize {
+        self.entries.values().filter(|peer| peer.connected).count()
+    }
+
     /// Sends the grants that are due.
     pub(super) fn send_grants(&mut self, now_us: u64) {
         let (free_cores, free_memory_mb) = self.free_capacity();
@@ -145,6 +154,7 @@
         if due.is_empty() {
             return;
         }
+        let entries = self.connected_entries();
         for entry in due {
             self.report_progress(entry, now_us);
             let peer = &mut self.entries[entry];
@@ -156,6 +166,7 @@
                 free_cores,
                 free_memory_mb,
                 expected_wait_us,
+                entries,
             };
             self.effects.push(Effect::Grant { entry, grant });
         }
--- a/crates/dispatch/tests/plan.rs
+++ b/crates/dispatch/tests/plan.rs
@@ -176,8 +176,13 @@
     let runs = take_starts(&mut planner);
     planner.disconnected(runs[0].0, NOW_US);
     planner.connected("sidecar-0", 1, 2, &[runs[1].1], NOW_US + 1_000);
-    let load =
-        Load { last_run: runs[1].1, free_cores: 5_000, free_memory_mb: 900, available_in_us: None };
+    let load = Load {
+        last_run: runs[1].1,
+        free_cores: 5_000,
+        free_memory_mb: 900,
+        available_in_us: None,
+        entries: 1,
+    };
     planner.load(runs[0].0, load, NOW_US + 1_000);
     assert_eq!(take_starts(&mut planner).len(), 1);
 }
@@ -341,7 +346,7 @@
 
 /// Returns the load of a worker that has no capacity for a task and expects it after this time.
 fn full_load(available_in_us: Option<u32>) -> Load {
-    Load { last_run: 0, free_cores: 1_000, free_memory_mb: 500, available_in_us }
+    Load { last_run: 0, free_cores: 1_000, free_memory_mb: 500, available_in_us, entries: 1 }
 }
 
 /// Guards against an urgent job that waits at one entry under overload while the entry that is
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -5,7 +5,7 @@
 mod config;
 mod links;
 
-use std::{collections::HashMap, io, sync::Arc, time::Duration};
+use std::{collections::HashMap, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use kingcup_dispatch::plan::{Effect, Job, Planner, Submission, Worker, MAX_SLEEP_US};
 use kingcup_wire::{
@@ -19,7 +19,11 @@
 };
 use stakker_mio::{mio::net::TcpListener, MioSource, Ready};
 
-use super::{document::Document, mesh::Mesh, metrics, protocol, settings};
+use super::{
+    document::Document,
+    mesh::{Identity, Mesh},
+    metrics, protocol, settings,
+};
 use crate::{
     link::{self, Id, Table},
     reactor,
@@ -31,8 +35,11 @@
 const SIDECAR_TIMEOUT_US: u64 = 800_000;
 /// Time without data from another entry after which its link is closed, in microseconds.
 const ENTRY_TIMEOUT_US: u64 = 3_500_000;
-/// Interval at which the list of entries is sent to all processes, in microseconds.
+/// Interval at which the list of entries is checked for changes, in microseconds. Other entries get
+/// a message each time, by which they notice that this one is alive.
 const PEERS_INTERVAL_US: u64 = 1_000_000;
+/// Longest time between two messages with the list of entries, in microseconds.
+const LIST_INTERVAL_US: u64 = 4_000_000;
 /// Time from connecting to an entry until the list of entries is sent, in microseconds. After an
 /// outage several entries come back at nearly the same time, so that one list covers them.
 const PEERS_DELAY_US: u64 = 30_000;
@@ -43,6 +50,9 @@
 /// Shortest time between two lease renewals at a sidecar, in microseconds. Grants, which also
 /// report the load, arrive more often than leases need to be renewed.
 const RENEW_INTERVAL_US: u64 = 60_000;
+/// Shortest time between two renewals at a sidecar that holds no runs of this entry, in
+/// microseconds. No lease depends on them; they show the sidecar that this entry is alive.
+const IDLE_RENEW_INTERVAL_US: u64 = 250_000;
 /// Shortest duration of a shutdown, in microseconds. The load balancer checks readiness once a
 /// second and opens no new connections after two failed checks.
 const STOP_MIN_US: u64 = 2_500_000;
@@ -139,6 +149,9 @@
     /// Time of the last submission, in microseconds.
     last_submission_us: u64,
     peers_due_us: u64,
+    /// Entries in the list that was sent last, and the time at which it was sent.
+    listed: Vec<SocketAddr>,
+    listed_us: u64,
     announce_due_us: Option<u64>,
     stop_began_us: Option<u64>,
     /// True once all jobs were given up because the shutdown is about to end.
@@ -203,7 +216,12 @@
             client: Client::open(STORE_LIMITS),
             links: Table::open(Key::derive(&settings.process.secret)),
             listener,
-            mesh: Mesh::open(settings.process.address(), &settings.process.entries, now_us),
+            mesh: Mesh::open(
+                settings.process.address(),
+                Identity { name: &settings.process.name, zone: &settings.process.zone },
+                &settings.process.entries,
+                now_us,
+            ),
             peers: HashMap::new(),
             link_by_worker: HashMap::new(),
             incarnation,
@@ -211,6 +229,8 @@
             resumed_us: 0,
             last_submission_us: 0,
             peers_due_us: now_us,
+            listed: Vec::new(),
+            listed_us: 0,
             announce_due_us: None,
             stop_began_us: None,
             gave_up: false,
@@ -267,7 +287,7 @@
         }
         if now_us >= self.peers_due_us {
             self.peers_due_us = now_us + PEERS_INTERVAL_US;
-            self.send_peers();
+            self.send_peers(now_us);
             self.callers.close_idle(IDLE_TIMEOUT_US, now_us);
         }
         for (_, result) in self.client.expire(now_us) {
--- a/crates/node/src/runs/entry/config.rs
+++ b/crates/node/src/runs/entry/config.rs
@@ -64,40 +64,15 @@
         }
     }
 
-    /// Announces the version in force to other entries, and sends the configuration to this entry's
-    /// share of the sidecars. Entries get only the version, as nearly all of them have read the
-    /// configuration from the store by then.
+    /// Announces the version in force to entries and sidecars. Those that lack it request it. Nearly
+    /// all entries have read it from the store by then, and a sidecar requests it from one entry.
     pub(super) fn announce_config(&mut self) {
         let version = self.document.version();
-        let mut names: Vec<&str> = vec![&self.settings.process.name];
-        for peer in self.peers.values() {
-            if let Peer::Entry { name } = peer {
-                names.push(name);
-            }
-        }
-        names.sort_unstable();
-        names.dedup();
-        let own_index = names.iter().position(|name| *name == self.settings.process.name);
-        let mut sidecars = Vec::new();
-        let mut entries = Vec::new();
         for (link, peer) in &self.peers {
-            match peer {
-                Peer::Entry { .. } => entries.push(*link),
-                Peer::Sidecar { name, .. } => {
-                    let sum: usize = name.bytes().map(usize::from).sum();
-                    if Some(sum % names.len()) == own_index {
-                        sidecars.push(*link);
-                    }
-                }
-                Peer::Unknown => {}
+            if !matches!(peer, Peer::Unknown) {
+                self.links.send(*link, &Frame::Run(Message::Version(version)));
             }
         }
-        for link in entries {
-            self.links.send(link, &Frame::Run(Message::Version(version)));
-        }
-        for link in sidecars {
-            self.send_config(link);
-        }
     }
 
     pub(super) fn send_config(&mut self, link: Id) {
--- a/crates/node/src/runs/entry/links.rs
+++ b/crates/node/src/runs/entry/links.rs
@@ -1,29 +1,42 @@
 //! The entry's connections to sidecars and other entries.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::net::SocketAddr;
 
 use kingcup_wire::{
-    run::{self, Message},
+    run::{self, Member, Message},
     Frame, Role,
 };
 use stakker::CX;
 use stakker_mio::Ready;
 
-use super::{Entry, Peer, ENTRY_TIMEOUT_US, PEERS_DELAY_US, RENEW_INTERVAL_US, SIDECAR_TIMEOUT_US};
+use super::{
+    Entry, Peer, ENTRY_TIMEOUT_US, IDLE_RENEW_INTERVAL_US, LIST_INTERVAL_US, PEERS_DELAY_US,
+    RENEW_INTERVAL_US, SIDECAR_TIMEOUT_US,
+};
 use crate::{
     link::{Id, Input},
     runs::{
         input::{self, Read},
+        mesh::Mesh,
+        settings::Process,
         translate,
     },
 };
 
+/// Returns the connected entries and this one.
+fn members<'a>(mesh: &'a Mesh, process: &'a Process) -> Vec<Member<'a>> {
+    let connected = mesh.connected().map(|(address, zone)| Member { address, zone });
+    let own = Member { address: process.address(), zone: &process.zone };
+    connected.chain([own]).collect()
+}
+
 impl Entry {
     pub(super) fn send_greeting(&mut self, link: Id) {
         let greeting = run::Greeting {
             role: Role::Entry,
             name: &self.settings.process.name,
             address: self.settings.process.address(),
+            zone: &self.settings.process.zone,
             incarnation: self.incarnation,
             generation: 0,
             config: self.document.version(),
@@ -31,30 +44,29 @@
         self.links.send(link, &Frame::Run(Message::Greeting(greeting)));
     }
 
-    /// Returns a message with the addresses of the connected entries and of this one.
-    fn peers_frame(&self) -> Frame<'static> {
-        let mut addresses: Vec<SocketAddr> = self.mesh.connected().collect();
-        addresses.push(self.settings.process.address());
-        Frame::Run(Message::Peers(addresses))
-    }
-
-    /// Sends the list of entries to all processes and updates the planner's number of entries.
-    pub(super) fn send_peers(&mut self) {
-        let frame = self.peers_frame();
+    /// Sends the list of entries to all processes if it has changed or has not been sent for some
+    /// time; otherwise sends an empty list to the other entries, which shows that this one lives.
+    pub(super) fn send_peers(&mut self, now_us: u64) {
+        let members = members(&self.mesh, &self.settings.process);
+        let addresses: Vec<SocketAddr> = members.iter().map(|member| member.address).collect();
+        let is_due = self.listed_us + LIST_INTERVAL_US <= now_us || addresses != self.listed;
+        let frame = if is_due {
+            self.listed_us = now_us;
+            self.listed = addresses;
+            Frame::Run(Message::Peers(members))
+        } else {
+            Frame::Run(Message::Peers(Vec::new()))
+        };
         for (link, peer) in &self.peers {
-            if !matches!(peer, Peer::Unknown) {
+            let receives = match peer {
+                Peer::Unknown => false,
+                Peer::Sidecar { .. } => is_due,
+                Peer::Entry { .. } => true,
+            };
+            if receives {
                 self.links.send(*link, &frame);
             }
         }
-        let entries: BTreeSet<&str> = self
-            .peers
-            .values()
-            .filter_map(|peer| match peer {
-                Peer::Entry { name } => Some(name.as_str()),
-                _ => None,
-            })
-            .collect();
-        self.planner.set_entries(entries.len() + 1);
     }
 
     /// Closes the links to peers that have sent nothing or no greeting for too long.
@@ -153,7 +165,10 @@
                     Peer::Sidecar { worker, grant: newest_grant, renewed_us, .. },
                 ) => {
                     *newest_grant = grant.number;
-                    if *renewed_us + RENEW_INTERVAL_US <= now_us {
+                    let has_runs = worker.is_some_and(|worker| self.planner.has_runs(worker));
+                    let interval_us =
+                        if has_runs { RENEW_INTERVAL_US } else { IDLE_RENEW_INTERVAL_US };
+                    if *renewed_us + interval_us <= now_us {
                         *renewed_us = now_us;
                         self.links.send(link, &Frame::Run(Message::Renew(grant.number)));
                     }
@@ -187,10 +202,12 @@
                         self.links.send(link, &Frame::Run(Message::Fetch));
                     }
                 }
-                (Message::Fetch, Peer::Entry { .. }) => self.send_config(link),
+                (Message::Fetch, Peer::Entry { .. } | Peer::Sidecar { .. }) => {
+                    self.send_config(link);
+                }
                 (Message::Peers(peers), Peer::Entry { .. }) => {
                     for peer in peers {
-                        self.mesh.learn(peer, now_us);
+                        self.mesh.learn(peer.address, Some(peer.zone), now_us);
                     }
                 }
                 _ => return false,
@@ -211,8 +228,8 @@
         let peer = match greeting.role {
             Role::Sidecar => {
                 // The sidecar may be connected to only one of the entries in its settings.
-                let frame = self.peers_frame();
-                self.links.send(link, &frame);
+                let members = members(&self.mesh, &self.settings.process);
+                self.links.send(link, &Frame::Run(Message::Peers(members)));
                 Peer::Sidecar {
                     name,
                     incarnation: greeting.incarnation,
@@ -223,10 +240,10 @@
                 }
             }
             Role::Entry => {
-                if self.mesh.greeted(link, now_us) {
+                if self.mesh.greeted(link, greeting.zone, now_us) {
                     self.peers_due_us = self.peers_due_us.min(now_us + PEERS_DELAY_US);
                 }
-                self.mesh.learn(greeting.address, now_us);
+                self.mesh.learn(greeting.address, Some(greeting.zone), now_us);
                 if greeting.config > self.document.version() {
                     self.links.send(link, &Frame::Run(Message::Fetch));
                 }
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -18,7 +18,7 @@
 use self::upstream::Token;
 use super::{
     input::{self, Read},
-    mesh::Mesh,
+    mesh::{Identity, Mesh},
     metrics,
     protocol::{self, Notification},
     settings, translate,
@@ -34,6 +34,15 @@
 /// Time without data from an entry after which its link is closed and opened again, in
 /// microseconds. An entry responds to each regular grant, ten a second.
 const ENTRY_TIMEOUT_US: u64 = 800_000;
+/// Time between two checks for connections that are not needed, in microseconds. After a start or
+/// an outage, the list of entries is complete well before the first check.
+const SURPLUS_INTERVAL_US: u64 = 1_000_000;
+/// Least time from the notice that an entry may send no more starts until its connection is closed,
+/// in microseconds: several round trips, so that no start is under way.
+const LEAVE_US: u64 = 300_000;
+/// Time after which a configuration that was requested is requested from another entry, in
+/// microseconds.
+const REQUEST_TIMEOUT_US: u64 = 500_000;
 /// Limits on the upstream's messages, in bytes; lists of runs and ends are the largest.
 const LIMITS: Limits = Limits { head_bytes: 16 << 10, body_bytes: 1 << 20 };
 /// Maximum number of connections at the control address, and at the metrics address.
@@ -45,6 +54,15 @@
     name: String,
     /// Highest version of the configuration that the entry is known to have.
     config: u64,
+    /// Time since which the connection is not needed any more.
+    leaving_since_us: Option<u64>,
+}
+
+impl Peer {
+    /// Returns whether the entry may send starts.
+    fn may_start(&self) -> bool {
+        self.leaving_since_us.is_none()
+    }
 }
 
 /// A running sidecar.
@@ -64,6 +82,10 @@
     generation: u64,
     /// Version and text of the newest configuration that an entry has sent; version 0 if none has.
     config: (u64, Vec<u8>),
+    /// Version of the configuration that was requested last, and the time of the request.
+    requested: (u64, u64),
+    /// Time at which surplus connections are looked for next.
+    surplus_due_us: u64,
     timer: MinTimerKey,
     stop_deadline_us: Option<u64>,
     _signals: ChannelGuard,
@@ -117,11 +139,18 @@
             metrics_server,
             metrics: metrics::Sidecar::open()?,
             links: Table::open(Key::derive(&settings.process.secret)),
-            mesh: Mesh::open(settings.process.address(), &settings.process.entries, now_us),
+            mesh: Mesh::open_limited(
+                settings.process.address(),
+                Identity { name: &settings.process.name, zone: &settings.process.zone },
+                &settings.process.entries,
+                now_us,
+            ),
             peers: HashMap::new(),
             incarnation,
             generation: 0,
             config: (0, Vec::new()),
+            requested: (0, 0),
+            surplus_due_us: now_us + SURPLUS_INTERVAL_US,
             timer: MinTimerKey::default(),
             stop_deadline_us: None,
             settings,
@@ -145,15 +174,52 @@
             }
         }
         self.close_unresponsive(now_us);
+        if now_us >= self.surplus_due_us {
+            self.surplus_due_us = now_us + SURPLUS_INTERVAL_US;
+            self.leave_surplus(now_us);
+        }
+        self.close_left(now_us);
         self.finish_event(cx, now_us);
     }
 
+    /// Tells the entries whose connections are not needed to send no more starts, and those whose
+    /// connections are needed again that they may.
+    fn leave_surplus(&mut self, now_us: u64) {
+        let surplus = self.mesh.surplus();
+        let mut changed = Vec::new();
+        for (link, peer) in &mut self.peers {
+            let is_surplus = surplus.contains(link);
+            if is_surplus == peer.may_start() {
+                peer.leaving_since_us = is_surplus.then_some(now_us);
+                changed.push(*link);
+            }
+        }
+        for link in changed {
+            self.send_profile(link);
+        }
+    }
+
+    /// Closes the connections that are not needed, once the entries have no runs here.
+    fn close_left(&mut self, now_us: u64) {
+        let left: Vec<Id> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| peer.leaving_since_us.is_some_and(|us| us + LEAVE_US <= now_us))
+            .filter(|(_, peer)| !self.supervisor.has_runs(peer.entry))
+            .map(|(link, _)| *link)
+            .collect();
+        for link in left {
+            self.close(link, "surplus", now_us);
+        }
+    }
+
     fn send_greeting(&mut self, link: Id) {
         self.generation += 1;
         let greeting = run::Greeting {
             role: Role::Sidecar,
             name: &self.settings.process.name,
             address: self.settings.process.address(),
+            zone: &self.settings.process.zone,
             incarnation: self.incarnation,
             generation: self.generation,
             config: self.config.0,
@@ -222,9 +288,10 @@
                         self.config = (config.version, config.text.to_vec());
                     }
                 }
+                (Message::Version(version), Some(_)) => self.offered(link, version, now_us),
                 (Message::Peers(peers), Some(_)) => {
                     for peer in peers {
-                        self.mesh.learn(peer, now_us);
+                        self.mesh.learn(peer.address, Some(peer.zone), now_us);
                     }
                 }
                 _ => return false,
@@ -233,10 +300,24 @@
         true
     }
 
+    /// Handles the version of an entry's configuration: requests it if it is newer than the one kept
+    /// here and no other entry has been asked for it.
+    fn offered(&mut self, link: Id, version: u64, now_us: u64) {
+        if let Some(peer) = self.peers.get_mut(&link) {
+            peer.config = peer.config.max(version);
+        }
+        let (requested, requested_us) = self.requested;
+        let is_pending = version <= requested && now_us < requested_us + REQUEST_TIMEOUT_US;
+        if version > self.config.0 && !is_pending {
+            self.requested = (version, now_us);
+            self.links.send(link, &Frame::Run(Message::Fetch));
+        }
+    }
+
     /// Registers an entry by its greeting, replacing an older link to it, and sends it the held
     /// runs, the profile and the configuration.
     fn register_entry(&mut self, link: Id, greeting: &run::Greeting<'_>, now_us: u64) {
-        self.mesh.greeted(link, now_us);
+        self.mesh.greeted(link, greeting.zone, now_us);
         let previous = self.peers.iter().find(|(_, peer)| peer.name == greeting.name);
         if let Some(previous) = previous.map(|(id, _)| *id) {
             self.close(previous, "replaced", now_us);
@@ -248,12 +329,18 @@
             greeting.incarnation,
             held.len()
         );
-        let peer = Peer { entry, name: greeting.name.to_owned(), config: greeting.config };
+        let peer = Peer {
+            entry,
+            name: greeting.name.to_owned(),
+            config: greeting.config,
+            leaving_since_us: None,
+        };
         self.peers.insert(link, peer);
         self.flush_ends();
         self.links.send(link, &Frame::Run(Message::Held(held)));
         self.send_profile(link);
         self.send_config(link);
+        self.offered(link, greeting.config, now_us);
     }
 
     /// Sends the newest configuration to an entry that has an older one.
@@ -287,7 +374,9 @@
     }
 
     fn send_profile(&mut self, link: Id) {
-        if let Some(profile) = self.supervisor.profile() {
+        let may_start = self.peers.get(&link).is_some_and(Peer::may_start);
+        if let Some(mut profile) = self.supervisor.profile() {
+            profile.ready &= may_start;
             let profile = translate::profile_to_wire(&profile);
             self.links.send(link, &Frame::Run(Message::Profile(profile)));
         }
--- a/crates/node/src/runs/translate.rs
+++ b/crates/node/src/runs/translate.rs
@@ -31,20 +31,28 @@
 }
 
 pub(super) fn grant_to_wire(grant: &worker::Grant) -> run::Grant {
-    let worker::Grant { number, highest_run, free_cores, free_memory_mb, expected_wait_us } =
-        *grant;
+    let worker::Grant {
+        number,
+        highest_run,
+        free_cores,
+        free_memory_mb,
+        expected_wait_us,
+        entries,
+    } = *grant;
     run::Grant {
         number,
         highest_run,
         free_cores,
         free_memory_mb,
         available_in_us: expected_wait_us,
+        entries: u16::try_from(entries).unwrap_or(u16::MAX),
     }
 }
 
 pub(super) fn load_from_wire(grant: &run::Grant) -> plan::Load {
-    let run::Grant { highest_run, free_cores, free_memory_mb, available_in_us, .. } = *grant;
-    plan::Load { last_run: highest_run, free_cores, free_memory_mb, available_in_us }
+    let run::Grant { highest_run, free_cores, free_memory_mb, available_in_us, entries, .. } =
+        *grant;
+    plan::Load { last_run: highest_run, free_cores, free_memory_mb, available_in_us, entries }
 }
 
 pub(super) fn profile_to_wire(profile: &worker::Profile) -> run::Profile<'_> {
--- a/crates/node/tests/runs.rs
+++ b/crates/node/tests/runs.rs
@@ -7,7 +7,7 @@
     link::Id,
     runs::{
         document::{Call, Document},
-        mesh::Mesh,
+        mesh::{Identity, Mesh},
         protocol::Fetch,
         settings::{Entry, Sidecar},
     },
@@ -16,6 +16,7 @@
 use rstest::rstest;
 use slotmap::KeyData;
 
+const IDENTITY: Identity<'_> = Identity { name: "edge-a-1", zone: "a" };
 const ENTRY: &str = "[process]\nname = edge-a-1\nzone = a\nsecret = sixteen-bytes-or-more\n\
     [listen]\ninternal = 10.0.0.1:7000\nmetrics = 10.0.0.1:9464\ncallers = 10.0.0.1:80\n\
     ready = 10.0.0.1:81\ncontrol = 10.0.0.1:82\n[entries]\nseeds = 10.0.0.2:99,10.0.0.3\n\
@@ -52,8 +53,8 @@
 #[test]
 fn only_entries_from_the_settings_are_kept_while_unreachable() {
     let address = |last: u8| SocketAddr::from(([10, 0, 0, last], 7000));
-    let mut mesh = Mesh::open(address(1), &[address(1), address(2)], 0);
-    mesh.learn(address(3), 0);
+    let mut mesh = Mesh::open(address(1), IDENTITY, &[address(1), address(2)], 0);
+    mesh.learn(address(3), None, 0);
     assert_eq!(mesh.due(0), []);
     assert_eq!(mesh.due(1_000_000), [address(2), address(3)]);
     assert_eq!(mesh.due(60_000_000), [address(2)]);
@@ -72,7 +73,8 @@
 fn a_recently_lost_entry_is_dialled_without_backoff() {
     let address = SocketAddr::from(([10, 0, 0, 2], 7000));
     let start_us = 50_000_000;
-    let mut mesh = Mesh::open(SocketAddr::from(([10, 0, 0, 1], 7000)), &[address], start_us);
+    let mut mesh =
+        Mesh::open(SocketAddr::from(([10, 0, 0, 1], 7000)), IDENTITY, &[address], start_us);
     let mut attempts = 0;
     for now_us in (start_us..start_us + 1_500_000).step_by(10_000) {
         for link in mesh.timed_out(now_us) {
@@ -91,7 +93,7 @@
 #[test]
 fn an_established_connection_gets_a_longer_timeout() {
     let address = SocketAddr::from(([10, 0, 0, 2], 7000));
-    let mut mesh = Mesh::open(SocketAddr::from(([10, 0, 0, 1], 7000)), &[address], 0);
+    let mut mesh = Mesh::open(SocketAddr::from(([10, 0, 0, 1], 7000)), IDENTITY, &[address], 0);
     mesh.dialled(address, Ok(link(1)), 0);
     mesh.established(link(1));
     assert_eq!(mesh.timed_out(1_000_000), []);
@@ -103,7 +105,7 @@
 #[test]
 fn a_reported_entry_gets_the_shortest_timeout() {
     let address = SocketAddr::from(([10, 0, 0, 2], 7000));
-    let mut mesh = Mesh::open(SocketAddr::from(([10, 0, 0, 1], 7000)), &[address], 0);
+    let mut mesh = Mesh::open(SocketAddr::from(([10, 0, 0, 1], 7000)), IDENTITY, &[address], 0);
     let mut now_us = 0;
     for number in 0..40 {
         mesh.dialled(address, Ok(link(number)), now_us);
@@ -112,7 +114,7 @@
     }
     mesh.dialled(address, Ok(link(99)), now_us);
     assert_eq!(mesh.timed_out(now_us + 200_000), []);
-    mesh.learn(address, now_us + 200_000);
+    mesh.learn(address, None, now_us + 200_000);
     assert_eq!(mesh.timed_out(now_us + 200_000), [link(99)]);
     assert!(mesh.next_due(now_us) <= now_us + 200_000);
 }
--- a/crates/wire/src/run.rs
+++ b/crates/wire/src/run.rs
@@ -35,12 +35,23 @@
     Held(Vec<u64>),
     /// Newest configuration, as read from the store.
     Config(Config<'a>),
-    /// Entry to entry: version of the sender's configuration.
+    /// From an entry: version of its configuration.
     Version(u64),
-    /// Entry to entry: requests the configuration.
+    /// To an entry: requests its configuration.
     Fetch,
-    /// Addresses of the entries that the sender knows.
-    Peers(Vec<SocketAddr>),
+    /// From an entry: the entries that it is connected to, and itself. An empty list only shows
+    /// that the sender is alive.
+    #[serde(borrow)]
+    Peers(Vec<Member<'a>>),
+}
+
+/// An entry of the deployment.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Member<'a> {
+    /// Internal address.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: &'a str,
 }
 
 /// First message of a connection.
@@ -52,6 +63,8 @@
     pub name: &'a str,
     /// Internal address of the sender.
     pub address: SocketAddr,
+    /// Availability zone of the sender.
+    pub zone: &'a str,
     /// Identifies one execution of the sender's process; changes with every restart.
     pub incarnation: u64,
     /// Increases with every connection that one incarnation of the sender opens.
@@ -96,6 +109,8 @@
     /// Time until capacity for one more start is expected, estimated from the progress of the runs,
     /// in microseconds; `None` if unknown.
     pub available_in_us: Option<u32>,
+    /// Number of entries that are connected to the sidecar.
+    pub entries: u16,
 }
 
 /// Request to start tasks of one job on one upstream.
