Report the load often only to entries at which jobs wait

Cause: of the messages between entries and sidecars, 18 of 24 a start were load reports, sent to every entry after each change, though only an entry whose jobs find no capacity acts on them at once.

Change: entries tell their sidecars when jobs begin and, 0.3 s after the last, cease to wait; these entries get reports every 5 ms times their number, at least 20 ms apart, the others ten a second. Polls of the upstream wait for 50 ms instead of 25 ms while runs are active.

--- a/crates/bench/src/runs/world.rs
+++ b/crates/bench/src/runs/world.rs
@@ -198,6 +198,7 @@
                 jobs: HashMap::new(),
                 grants: vec![0; self.size.sidecars],
                 renewed_us: vec![0; self.size.sidecars],
+                announced_waiting: false,
                 frozen_until_us: 0,
             });
             self.push(1, Event::Tick(Process::Entry(entry)));
--- a/crates/bench/src/runs/world/entries.rs
+++ b/crates/bench/src/runs/world/entries.rs
@@ -12,6 +12,7 @@
 
 impl World {
     pub(super) fn settle_entry(&mut self, entry: usize) {
+        self.announce_waiting(entry);
         let effects = self.entries[entry].planner.drain();
         for effect in effects {
             match effect {
@@ -57,6 +58,21 @@
         }
     }
 
+    /// Tells the sidecars when jobs begin or cease to wait for capacity at an entry.
+    fn announce_waiting(&mut self, entry: usize) {
+        let node = &mut self.entries[entry];
+        let waiting = node.planner.is_waiting(self.now_us);
+        if std::mem::replace(&mut node.announced_waiting, waiting) == waiting {
+            return;
+        }
+        let connected: Vec<usize> =
+            (0..node.workers.len()).filter(|at| node.workers[*at].is_some()).collect();
+        for sidecar in connected {
+            let at_us = self.arrives_us(entry, sidecar);
+            self.push(at_us, Event::Sidecar(entry, sidecar, ToSidecar::Waiting(waiting)));
+        }
+    }
+
     /// Sidecar of a worker, and arrival of a job.
     fn place_of(&self, entry: usize, worker: plan::Worker, job: Job) -> Option<(usize, usize)> {
         let node = &self.entries[entry];
--- a/crates/bench/src/runs/world/event.rs
+++ b/crates/bench/src/runs/world/event.rs
@@ -12,6 +12,7 @@
 
 pub(super) enum ToSidecar {
     Renew(u64),
+    Waiting(bool),
     Start(Start),
     Stop(u64),
 }
@@ -72,6 +73,7 @@
     pub(super) jobs: HashMap<Job, usize>,
     pub(super) grants: Vec<u64>,
     pub(super) renewed_us: Vec<u64>,
+    pub(super) announced_waiting: bool,
     pub(super) frozen_until_us: u64,
 }
 
--- a/crates/bench/src/runs/world/sidecars.rs
+++ b/crates/bench/src/runs/world/sidecars.rs
@@ -14,13 +14,14 @@
     pub(super) fn sidecar_hears(&mut self, entry: usize, sidecar: usize, message: ToSidecar) {
         let now_us = self.now_us;
         match message {
-            ToSidecar::Renew(_) => self.outcome.messages.renewals += 1,
+            ToSidecar::Renew(_) | ToSidecar::Waiting(_) => self.outcome.messages.renewals += 1,
             _ => self.outcome.messages.runs += 1,
         }
         let node = &mut self.sidecars[sidecar];
         let Some(key) = node.entries[entry] else { return };
         match message {
             ToSidecar::Renew(number) => node.supervisor.renew(key, number),
+            ToSidecar::Waiting(waiting) => node.supervisor.set_waiting(key, waiting),
             ToSidecar::Start(start) => node.supervisor.start(key, start, now_us),
             ToSidecar::Stop(run) => node.supervisor.stop(key, run, now_us),
         }
--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -56,6 +56,10 @@
 /// Longest time between two events of an entry, in microseconds.
 pub const MAX_SLEEP_US: u64 = 100_000;
 
+/// Time for which an entry counts as waiting for capacity after its last waiting task was sent, in
+/// microseconds. It keeps the sidecars from being told of each short wait.
+const WAITING_HOLD_US: u64 = 300_000;
+
 /// Identifies one task of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Item {
@@ -96,6 +100,8 @@
     settled_us: u64,
     /// Highest number of workers that have accepted work at the same time since the start.
     max_accepting: usize,
+    /// Time until which this entry counts as having jobs that wait for capacity.
+    waiting_until_us: u64,
     last_event_us: u64,
     random: fastrand::Rng,
     effects: Vec<Effect>,
@@ -117,6 +123,7 @@
             backlog_means: HashMap::new(),
             settled_us: 0,
             max_accepting: 0,
+            waiting_until_us: 0,
             last_event_us: 0,
             random: fastrand::Rng::with_seed(seed),
             effects: Vec::new(),
@@ -152,6 +159,11 @@
         self.workers.values().filter(|member| member.connected && member.profile.ready).count()
     }
 
+    /// Returns whether jobs wait for capacity here, or did so until a moment ago.
+    pub fn is_waiting(&self, now_us: u64) -> bool {
+        now_us < self.waiting_until_us
+    }
+
     /// Returns the number of jobs that have no answer yet.
     pub fn unanswered(&self) -> usize {
         self.jobs.len()
--- a/crates/dispatch/src/plan/place.rs
+++ b/crates/dispatch/src/plan/place.rs
@@ -6,7 +6,7 @@
     action::Effect,
     job::Task,
     worker::{Member, Worker},
-    Item, Job, Planner, Start, SIDECAR_WAIT_US, URGENT_WAIT_US,
+    Item, Job, Planner, Start, SIDECAR_WAIT_US, URGENT_WAIT_US, WAITING_HOLD_US,
 };
 
 /// Result of the search for a worker for a task.
@@ -33,6 +33,9 @@
                 full.push(self.jobs[key].submission.service.clone());
             }
         }
+        if !self.queue.is_empty() {
+            self.waiting_until_us = now_us + WAITING_HOLD_US;
+        }
     }
 
     /// Returns the position and key of the first job after a position in the queue, skipping
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -41,10 +41,12 @@
 pub const STOP_US: u64 = 50_000;
 /// Longest time between two grants to an entry, in microseconds.
 pub const GRANT_INTERVAL_US: u64 = 100_000;
-/// Shortest time between two grants that are sent because the load changed, in microseconds. It is
-/// multiplied by the number of connected entries, so that the rate of these messages does not grow
-/// with that number.
+/// Time between two grants to an entry at which jobs wait for capacity, in microseconds. It is
+/// multiplied by the number of such entries, so that the rate of these messages does not grow with
+/// that number.
 pub const LOAD_INTERVAL_US: u64 = 5_000;
+/// Lower bound of that time, in microseconds.
+pub const MIN_LOAD_INTERVAL_US: u64 = 20_000;
 /// Time after which a stop is sent again if its run is still listed, in microseconds.
 const STOP_RETRY_US: u64 = 60_000;
 /// Time after which the first order for a start counts as unanswered, in microseconds. An upstream
@@ -62,7 +64,7 @@
 const MISSED_POLL_LIMIT: u32 = 5;
 /// Time that the upstream may hold a poll while runs are active, in milliseconds. It bounds the
 /// delay with which the sidecar learns of an end when the answer that listed it was lost.
-const POLL_WAIT_MS: u32 = 25;
+const POLL_WAIT_MS: u32 = 50;
 /// Time that the upstream may hold a poll while nothing runs, in milliseconds. Well below the
 /// lease at the upstream, which the next poll renews.
 const IDLE_POLL_WAIT_MS: u32 = 200;
@@ -131,8 +133,6 @@
     entries: SlotMap<Entry, Peer>,
     /// Whether starts were accepted according to the last profile sent to entries.
     announced_accepting: bool,
-    /// Whether the load has changed since the last grants.
-    load_changed: bool,
     stopping: bool,
     effects: Vec<Effect>,
 }
@@ -165,7 +165,6 @@
             unanswered_starts: VecDeque::new(),
             entries: SlotMap::with_key(),
             announced_accepting: false,
-            load_changed: false,
             stopping: false,
             effects: Vec::new(),
         }
--- a/crates/dispatch/src/worker/entry.rs
+++ b/crates/dispatch/src/worker/entry.rs
@@ -7,7 +7,7 @@
 use super::{
     action::{Effect, Grant},
     run::{self, End, Progress, Run},
-    Reason, Supervisor, ENTRY_LEASE_US, GRANT_INTERVAL_US, LOAD_INTERVAL_US,
+    Reason, Supervisor, ENTRY_LEASE_US, GRANT_INTERVAL_US, LOAD_INTERVAL_US, MIN_LOAD_INTERVAL_US,
 };
 
 /// Time for which ends are kept to be repeated when an entry reconnects, in microseconds.
@@ -31,6 +31,8 @@
     /// Highest run number received from the entry.
     highest_run: u64,
     connected: bool,
+    /// Whether jobs wait for capacity at the entry.
+    waiting: bool,
     /// Time of the last grant.
     granted_us: u64,
     /// Time of the last progress report.
@@ -79,6 +81,7 @@
                 lease_end_us,
                 highest_run: 0,
                 connected: true,
+                waiting: false,
                 granted_us: 0,
                 progress_us: 0,
                 grant_now: true,
@@ -87,6 +90,7 @@
         });
         let peer = &mut self.entries[key];
         peer.connected = true;
+        peer.waiting = false;
         peer.grant_now = true;
         let repeated = peer.ends.iter().map(|(_, task, end)| Effect::Ended {
             entry: key,
@@ -117,6 +121,14 @@
         }
     }
 
+    /// Records whether jobs wait for capacity at an entry, which then gets load reports more
+    /// often.
+    pub fn set_waiting(&mut self, entry: Entry, waiting: bool) {
+        if let Some(peer) = self.entries.get_mut(entry) {
+            peer.waiting = waiting;
+        }
+    }
+
     /// Records the highest run number received from an entry. Returns false for an unknown entry.
     pub(super) fn record_arrival(&mut self, entry: Entry, run: u64) -> bool {
         let Some(peer) = self.entries.get_mut(entry) else { return false };
@@ -132,9 +144,12 @@
         if peer.grant_now {
             return 0;
         }
-        let connected = self.connected_entries() as u64;
-        let interval = (LOAD_INTERVAL_US * connected).min(GRANT_INTERVAL_US);
-        peer.granted_us + if self.load_changed { interval } else { GRANT_INTERVAL_US }
+        if !peer.waiting {
+            return peer.granted_us + GRANT_INTERVAL_US;
+        }
+        let waiting = self.entries.values().filter(|peer| peer.connected && peer.waiting).count();
+        let interval_us = LOAD_INTERVAL_US * waiting as u64;
+        peer.granted_us + interval_us.clamp(MIN_LOAD_INTERVAL_US, GRANT_INTERVAL_US)
     }
 
     fn connected_entries(&self) -> usize {
@@ -170,10 +185,6 @@
             };
             self.effects.push(Effect::Grant { entry, grant });
         }
-        // The change stays marked while an entry has not been sent it, which its next regular grant
-        // does at the latest.
-        let pending = self.entries.values().any(|peer| peer.connected && peer.granted_us != now_us);
-        self.load_changed &= pending;
     }
 
     /// Reports the progress of its runs to an entry, at most once in each regular grant interval.
@@ -224,7 +235,6 @@
         if run.has_unanswered_start {
             self.unanswered_starts.push_back((now_us, run.task.clone(), run.attempt));
         }
-        self.load_changed = true;
         let end = End { run: run.number, outcome, ran_us: now_us.saturating_sub(run.started_us) };
         let Some(peer) = self.entries.get_mut(run.entry) else { return };
         peer.ends.push_back((now_us, run.task.clone(), end));
@@ -235,8 +245,10 @@
     /// Removes a run that never started, and notifies its entry of the reason.
     pub(super) fn refuse(&mut self, key: run::Key, reason: Reason) {
         let Some(run) = self.runs.remove(key) else { return };
-        self.load_changed = true;
         let Run { entry, task, number, .. } = run;
+        if let Some(peer) = self.entries.get_mut(entry) {
+            peer.grant_now = true;
+        }
         self.effects.push(Effect::Refused { entry, task, run: number, reason });
     }
 
--- a/crates/dispatch/src/worker/order.rs
+++ b/crates/dispatch/src/worker/order.rs
@@ -29,7 +29,6 @@
             self.effects.push(Effect::Refused { entry, task, run, reason });
             return;
         }
-        self.load_changed = true;
         self.runs.insert(Run {
             entry,
             number: start.run,
--- a/crates/dispatch/tests/plan.rs
+++ b/crates/dispatch/tests/plan.rs
@@ -168,6 +168,42 @@
     assert_eq!(take_starts(&mut planner).len(), 1);
 }
 
+/// Guards against leases that are not renewed while runs depend on them, and against renewals that
+/// nothing depends on, which grow with the number of sidecars.
+#[test]
+fn a_lease_is_needed_while_a_run_has_neither_ended_nor_been_refused() {
+    let (mut planner, workers) = planner(2);
+    planner.submit(submission("a", 1), NOW_US);
+    let (busy, run) = take_starts(&mut planner)[0];
+    let needed = |planner: &Planner| -> Vec<Worker> {
+        workers.iter().copied().filter(|worker| planner.has_runs(*worker)).collect()
+    };
+    assert_eq!(needed(&planner), [busy]);
+    planner.refused(run, NOW_US + 1_000);
+    let (other, run) = take_starts(&mut planner)[0];
+    assert_eq!(needed(&planner), [other]);
+    planner.ended(&End { run, outcome: Outcome::Done, ran_us: 100_000 }, NOW_US + 102_000);
+    assert!(needed(&planner).is_empty());
+}
+
+/// Guards against an entry that is not told of free capacity while its jobs wait, and against one
+/// that claims to wait for good.
+#[test]
+fn an_entry_waits_while_its_tasks_find_no_capacity() {
+    let (mut planner, workers) = planner(1);
+    planner.submit(submission("a", 2), NOW_US);
+    assert!(!planner.is_waiting(NOW_US));
+    planner.submit(submission("b", 1), NOW_US);
+    assert!(planner.is_waiting(NOW_US));
+    for (_, run) in take_starts(&mut planner) {
+        planner.ended(&End { run, outcome: Outcome::Done, ran_us: 100_000 }, NOW_US + 100_000);
+    }
+    let load = Load { free_cores: CORES, free_memory_mb: 1_000, last_run: 2, ..Load::default() };
+    planner.load(workers[0], load, NOW_US + 100_000);
+    assert_eq!(take_starts(&mut planner).len(), 1);
+    assert!(!planner.is_waiting(NOW_US + 1_000_000));
+}
+
 /// Guards against tasks that never end because their sidecar reconnects without their runs.
 #[test]
 fn a_run_that_a_reconnected_sidecar_does_not_list_is_replaced() {
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -143,6 +143,8 @@
     link_by_worker: HashMap<Worker, Id>,
     incarnation: u64,
     timer: MinTimerKey,
+    /// Whether sidecars were told that jobs wait for capacity here.
+    announced_waiting: bool,
     /// Time at which the end of the last long suspension was noticed, in microseconds; 0 if there
     /// was none.
     resumed_us: u64,
@@ -226,6 +228,7 @@
             link_by_worker: HashMap::new(),
             incarnation,
             timer: MinTimerKey::default(),
+            announced_waiting: false,
             resumed_us: 0,
             last_submission_us: 0,
             peers_due_us: now_us,
@@ -310,6 +313,7 @@
             }
             self.execute(effects, now_us);
         }
+        self.announce_waiting(now_us);
         for link in self.links.flush() {
             self.close(link, "flush", now_us);
         }
--- a/crates/node/src/runs/entry/links.rs
+++ b/crates/node/src/runs/entry/links.rs
@@ -69,6 +69,17 @@
         }
     }
 
+    /// Tells the sidecars when jobs begin or cease to wait for capacity here.
+    pub(super) fn announce_waiting(&mut self, now_us: u64) {
+        let waiting = self.planner.is_waiting(now_us);
+        if std::mem::replace(&mut self.announced_waiting, waiting) == waiting {
+            return;
+        }
+        for link in self.link_by_worker.values() {
+            self.links.send(*link, &Frame::Run(Message::Waiting(waiting)));
+        }
+    }
+
     /// Closes the links to peers that have sent nothing or no greeting for too long.
     pub(super) fn close_unresponsive(&mut self, now_us: u64) {
         let timeout_us = |peer: Option<&Peer>| match peer {
@@ -154,6 +165,9 @@
                     };
                     *worker = Some(key);
                     self.link_by_worker.insert(key, link);
+                    if self.announced_waiting {
+                        self.links.send(link, &Frame::Run(Message::Waiting(true)));
+                    }
                 }
                 (Message::Profile(profile), Peer::Sidecar { name, worker: Some(worker), .. }) => {
                     let profile = translate::profile_from_wire(&profile, name);
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -277,6 +277,9 @@
             match (message, entry) {
                 (Message::Greeting(greeting), None) => self.register_entry(link, &greeting, now_us),
                 (Message::Renew(number), Some(entry)) => self.supervisor.renew(entry, number),
+                (Message::Waiting(waiting), Some(entry)) => {
+                    self.supervisor.set_waiting(entry, waiting);
+                }
                 (Message::Start(start), Some(entry)) => self.handle_start(entry, &start, now_us),
                 (Message::Stop(runs), Some(entry)) => {
                     for run in runs {
--- a/crates/node/tests/runs.rs
+++ b/crates/node/tests/runs.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use kingcup_dispatch::routes::Table;
+use kingcup_dispatch::{routes::Table, subset};
 use kingcup_node::{
     link::Id,
     runs::{
@@ -119,6 +119,91 @@
     assert!(mesh.next_due(now_us) <= now_us + 200_000);
 }
 
+/// A sidecar's view of a fleet with more entries than it connects to.
+struct Fleet {
+    mesh: Mesh,
+    next_link: u64,
+}
+
+impl Fleet {
+    const ENTRIES: u8 = 30;
+
+    fn open(now_us: u64) -> Self {
+        let own = SocketAddr::from(([10, 0, 1, 1], 7000));
+        let mut mesh = Mesh::open_limited(own, IDENTITY, &[Self::entry(0)], now_us);
+        for last in 0..Self::ENTRIES {
+            mesh.learn(Self::entry(last), Some(Self::zone(last)), now_us);
+        }
+        Self { mesh, next_link: 0 }
+    }
+
+    fn entry(last: u8) -> SocketAddr {
+        SocketAddr::from(([10, 0, 0, last], 7000))
+    }
+
+    fn zone(last: u8) -> &'static str {
+        ["a", "b", "c"][usize::from(last % 3)]
+    }
+
+    fn connected(&self) -> Vec<SocketAddr> {
+        self.mesh.connected().map(|(address, _)| address).collect()
+    }
+
+    /// Lets the mesh dial for some time. The entries for which `is_up` is true send a greeting.
+    fn dial(&mut self, is_up: impl Fn(SocketAddr) -> bool, from_us: u64, to_us: u64) {
+        for now_us in (from_us..to_us).step_by(10_000) {
+            for link in self.mesh.timed_out(now_us) {
+                self.mesh.closed(link, now_us);
+            }
+            for address in self.mesh.due(now_us) {
+                self.next_link += 1;
+                let link = link(self.next_link);
+                self.mesh.dialled(address, Ok(link), now_us);
+                if is_up(address) {
+                    let last = (0..Self::ENTRIES).find(|last| Self::entry(*last) == address);
+                    let zone = Self::zone(last.expect("an entry of the fleet"));
+                    self.mesh.greeted(link, zone, now_us);
+                }
+            }
+        }
+    }
+}
+
+/// Guards against links that grow with the product of entries and sidecars.
+#[test]
+fn a_sidecar_of_a_large_fleet_connects_to_a_subset_of_the_entries() {
+    let mut fleet = Fleet::open(0);
+    fleet.dial(|_| true, 0, 1_000_000);
+    let connected = fleet.connected();
+    assert_eq!(connected.len(), subset::SIZE);
+    assert!(fleet.mesh.surplus().is_empty());
+    let local = fleet.mesh.connected().filter(|(_, zone)| *zone == IDENTITY.zone).count();
+    assert!(local >= subset::LOCAL_SIZE, "{local} of {} are local", connected.len());
+}
+
+/// Guards against an upstream whose capacity is unused because all entries of its sidecar's subset
+/// are gone, and against connections to their replacements that are kept for good.
+#[test]
+fn lost_entries_are_replaced_until_they_return() {
+    let mut fleet = Fleet::open(0);
+    fleet.dial(|_| true, 0, 1_000_000);
+    let lost = fleet.connected();
+    let lost_us = 1_000_000;
+    for number in 1..=fleet.next_link {
+        fleet.mesh.closed(link(number), lost_us);
+    }
+    fleet.dial(|address| !lost.contains(&address), lost_us, lost_us + 1_000_000);
+    assert_eq!(fleet.connected().len(), subset::SIZE);
+    fleet.dial(|_| true, lost_us + 1_000_000, lost_us + 3_000_000);
+    let surplus = fleet.mesh.surplus();
+    assert!(!surplus.is_empty());
+    for link in surplus {
+        fleet.mesh.closed(link, lost_us + 3_000_000);
+    }
+    fleet.dial(|_| true, lost_us + 3_000_000, lost_us + 4_000_000);
+    assert_eq!(fleet.connected(), lost);
+}
+
 /// Guards against settings that are misread, and against invalid settings that are accepted.
 #[test]
 fn settings_are_parsed_and_validated() {
--- a/crates/wire/src/run.rs
+++ b/crates/wire/src/run.rs
@@ -21,6 +21,9 @@
     Grant(Grant),
     /// Entry to sidecar: renews the lease with the number of the newest grant received.
     Renew(u64),
+    /// Entry to sidecar: whether jobs wait for capacity at the sender, so that it needs to hear of
+    /// changes of the load soon.
+    Waiting(bool),
     /// Entry to sidecar: starts tasks of one job.
     Start(Start<'a>),
     /// Entry to sidecar: stops these runs, or prevents their start.
