Take an answer that arrives with the end of its connection

Cause: the HTTP client dropped a whole answer if the connection had ended by the time it was read. An order or a poll then counted as unanswered although its answer was there.

Change: the client parses what has arrived before it gives up a connection. Reads of links, the client and the server stop after a short read unless the event announces an end or an error, which saves one system call an event.

--- a/crates/node/src/entry.rs
+++ b/crates/node/src/entry.rs
@@ -206,7 +206,7 @@
             self.close(id, "connect or write failed", now_us);
             return self.apply_and_flush(now_us);
         }
-        let Some(mut input) = self.links.read(id, now_us) else { return };
+        let Some(mut input) = self.links.read(id, ready, now_us) else { return };
         let mut reason = None;
         while let Some(frame) = input.take_frame() {
             self.metrics.received(&frame);
--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -13,7 +13,7 @@
     MioPoll, MioSource, ReadStatus, Ready, TcpStreamBuf,
 };
 
-use crate::reactor::PRIORITY;
+use crate::reactor::{self, PRIORITY};
 
 /// Maximum number of bytes per read call.
 const MAX_READ_BYTES: usize = 64 << 10;
@@ -232,22 +232,27 @@
         failed
     }
 
-    /// Reads all bytes that have arrived. The caller takes frames from the input and then returns
+    /// Reads all bytes that have arrived by a readiness event. The caller takes frames from the input and then returns
     /// it with `put_back`; meanwhile it can send frames on the connection. Returns `None` if the
     /// connection is closed.
-    pub fn read(&mut self, id: Id, now_us: u64) -> Option<Input> {
+    pub fn read(&mut self, id: Id, ready: Ready, now_us: u64) -> Option<Input> {
         let link = self.links.get_mut(id)?;
+        let stops_short = reactor::is_emptied_by_short_read(ready);
         let mut closed = None;
         let before = link.stream.wr - link.stream.rd;
         if link.stream.inp.is_empty() {
             link.stream.inp = mem::take(&mut self.spare);
         }
         loop {
+            let end = link.stream.wr;
             match link.stream.read(MAX_READ_BYTES) {
                 ReadStatus::NewData if link.stream.wr - link.stream.rd > MAX_UNREAD_BYTES => {
                     closed = Some(Closed::Frame(Fault::Length));
                     break;
                 }
+                ReadStatus::NewData if stops_short && link.stream.wr - end < MAX_READ_BYTES => {
+                    break
+                }
                 ReadStatus::NewData => {}
                 ReadStatus::WouldBlock => break,
                 ReadStatus::EndOfStream => {
--- a/crates/node/src/reactor.rs
+++ b/crates/node/src/reactor.rs
@@ -10,7 +10,7 @@
 use stakker::{sync::Channel, Core, Fwd, Stakker};
 use stakker_mio::{
     mio::{Events, Poll},
-    MioPoll,
+    MioPoll, Ready,
 };
 
 /// Maximum number of events that one poll returns.
@@ -72,6 +72,13 @@
     Ok(guard)
 }
 
+/// Returns whether a read that returned fewer bytes than there was space for has emptied the
+/// receive buffer of a connection with this event. If the other side has closed the connection or
+/// failed, no further event announces that, so reading goes on until it shows.
+pub fn is_emptied_by_short_read(ready: Ready) -> bool {
+    ready.is_readable() && !ready.is_read_closed() && !ready.is_error()
+}
+
 /// Creates the incarnation of this process: the time in microseconds, followed by 12 random bits.
 /// It differs between two starts, even within a microsecond or after the clock was set back.
 pub fn incarnation() -> u64 {
--- a/crates/node/src/runs/entry/callers.rs
+++ b/crates/node/src/runs/entry/callers.rs
@@ -22,9 +22,9 @@
         self.callers.accept(cx, now_us, Self::caller_ready);
     }
 
-    fn caller_ready(&mut self, cx: CX![], id: server::Id, _: Ready) {
+    fn caller_ready(&mut self, cx: CX![], id: server::Id, ready: Ready) {
         let now_us = self.begin_event();
-        let event = self.callers.read(id, now_us);
+        let event = self.callers.read(id, ready, now_us);
         self.handle_events(id, event, now_us);
         self.finish_event(cx, now_us);
     }
@@ -152,9 +152,9 @@
         self.readiness_server.accept(cx, now_us, Self::readiness_ready);
     }
 
-    fn readiness_ready(&mut self, _: CX![], id: server::Id, _: Ready) {
+    fn readiness_ready(&mut self, _: CX![], id: server::Id, ready: Ready) {
         let now_us = self.begin_event();
-        let mut event = self.readiness_server.read(id, now_us);
+        let mut event = self.readiness_server.read(id, ready, now_us);
         while let Some(Event::Request(_)) = event {
             let status = if self.is_ready() { 200 } else { 503 };
             self.readiness_server.respond(id, &Response::empty(status));
@@ -168,9 +168,9 @@
     }
 
     /// Rejects reports: upstreams report to their own sidecar, and an entry cannot act for it.
-    fn control_ready(&mut self, _: CX![], id: server::Id, _: Ready) {
+    fn control_ready(&mut self, _: CX![], id: server::Id, ready: Ready) {
         let now_us = self.begin_event();
-        let mut event = self.control.read(id, now_us);
+        let mut event = self.control.read(id, ready, now_us);
         while let Some(Event::Request(_)) = event {
             self.control.respond(id, &Response::empty(503));
             event = self.control.next(id);
@@ -182,9 +182,9 @@
         self.metrics_server.accept(cx, now_us, Self::metrics_ready);
     }
 
-    fn metrics_ready(&mut self, _: CX![], id: server::Id, _: Ready) {
+    fn metrics_ready(&mut self, _: CX![], id: server::Id, ready: Ready) {
         let now_us = self.begin_event();
-        let mut event = self.metrics_server.read(id, now_us);
+        let mut event = self.metrics_server.read(id, ready, now_us);
         while let Some(Event::Request(_)) = event {
             let text =
                 self.metrics.text(&self.planner, self.callers.len(), self.document.version());
--- a/crates/node/src/runs/entry/config.rs
+++ b/crates/node/src/runs/entry/config.rs
@@ -31,9 +31,9 @@
         }
     }
 
-    fn store_ready(&mut self, cx: CX![], id: client::Id, _: Ready) {
+    fn store_ready(&mut self, cx: CX![], id: client::Id, ready: Ready) {
         let now_us = self.begin_event();
-        if let Some((_, result)) = self.client.ready(id) {
+        if let Some((_, result)) = self.client.ready(id, ready) {
             self.handle_store_response(&result, now_us);
             self.call_store(cx, now_us);
         }
--- a/crates/node/src/runs/input.rs
+++ b/crates/node/src/runs/input.rs
@@ -30,7 +30,7 @@
         }
         mesh.established(link);
     }
-    links.read(link, now_us).map_or(Read::Nothing, Read::Messages)
+    links.read(link, ready, now_us).map_or(Read::Nothing, Read::Messages)
 }
 
 /// Gives the data that was read back to the connection. Returns the reason if the connection is to
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -509,9 +509,9 @@
         self.control.accept(cx, now_us, Self::control_ready);
     }
 
-    fn control_ready(&mut self, cx: CX![], id: server::Id, _: Ready) {
+    fn control_ready(&mut self, cx: CX![], id: server::Id, ready: Ready) {
         let now_us = self.begin_event();
-        let mut event = self.control.read(id, now_us);
+        let mut event = self.control.read(id, ready, now_us);
         while let Some(Event::Request(request)) = event {
             let status = match (self.protocol.parse_notification)(&request) {
                 Notification::Report { profile, sequence, clock_ms } => {
@@ -540,9 +540,9 @@
         self.metrics_server.accept(cx, now_us, Self::metrics_ready);
     }
 
-    fn metrics_ready(&mut self, _: CX![], id: server::Id, _: Ready) {
+    fn metrics_ready(&mut self, _: CX![], id: server::Id, ready: Ready) {
         let now_us = self.begin_event();
-        let mut event = self.metrics_server.read(id, now_us);
+        let mut event = self.metrics_server.read(id, ready, now_us);
         while let Some(Event::Request(_)) = event {
             let text = self.metrics.text(&self.supervisor, self.peers.len());
             self.metrics_server.respond(id, &Response::of(200, "text/plain", text));
--- a/crates/node/src/runs/sidecar/upstream.rs
+++ b/crates/node/src/runs/sidecar/upstream.rs
@@ -53,9 +53,9 @@
         }
     }
 
-    fn upstream_ready(&mut self, cx: CX![], id: client::Id, _: Ready) {
+    fn upstream_ready(&mut self, cx: CX![], id: client::Id, ready: Ready) {
         let now_us = self.begin_event();
-        if let Some((token, result)) = self.client.ready(id) {
+        if let Some((token, result)) = self.client.ready(id, ready) {
             self.handle_response(token, &result, now_us);
         }
         self.finish_event(cx, now_us);
--- a/crates/node/src/sidecar.rs
+++ b/crates/node/src/sidecar.rs
@@ -256,7 +256,7 @@
             self.close(id, &Closed::End, reactor::now_us(cx));
             return self.finish_event(cx);
         }
-        let Some(mut input) = self.links.read(id, reactor::now_us(cx)) else { return };
+        let Some(mut input) = self.links.read(id, ready, reactor::now_us(cx)) else { return };
         let valid = self.handle_frames(cx, id, &mut input);
         match self.links.put_back(id, input) {
             Some(closed) => self.close(id, &closed, reactor::now_us(cx)),
--- a/crates/node/src/web/client.rs
+++ b/crates/node/src/web/client.rs
@@ -13,7 +13,7 @@
     message::{Limits, Request, Response},
     MAX_READ_BYTES,
 };
-use crate::reactor::PRIORITY;
+use crate::reactor::{self, PRIORITY};
 
 new_key_type! {
     /// Key of a connection in the pool.
@@ -125,32 +125,41 @@
     }
 
     /// Handles an event of a connection. Returns the call that ended, if one did.
-    pub fn ready(&mut self, id: Id) -> Option<Completion<T>> {
+    pub fn ready(&mut self, id: Id, ready: Ready) -> Option<Completion<T>> {
         self.connections.get_mut(id)?.connected = true;
-        self.read(id)
+        self.read(id, reactor::is_emptied_by_short_read(ready))
     }
 
-    fn read(&mut self, id: Id) -> Option<Completion<T>> {
+    fn read(&mut self, id: Id, stops_short: bool) -> Option<Completion<T>> {
         let connection = self.connections.get_mut(id)?;
         if let Err(error) = connection.stream.flush() {
             return self.fail(id, to_fault(&error));
         }
-        loop {
+        // An answer may have arrived together with the end of its connection.
+        let mut ended = None;
+        while ended.is_none() {
+            let end = connection.stream.wr;
             match connection.stream.read(MAX_READ_BYTES) {
+                ReadStatus::NewData
+                    if stops_short && connection.stream.wr - end < MAX_READ_BYTES =>
+                {
+                    break;
+                }
                 ReadStatus::NewData => {}
                 ReadStatus::WouldBlock => break,
-                ReadStatus::EndOfStream => return self.fail(id, Fault::Unanswered),
-                ReadStatus::Error(error) => return self.fail(id, to_fault(&error)),
+                ReadStatus::EndOfStream => ended = Some(Fault::Unanswered),
+                ReadStatus::Error(error) => ended = Some(to_fault(&error)),
             }
         }
         let stream = &mut connection.stream;
         match Response::parse(&stream.inp[stream.rd..stream.wr], self.limits) {
-            Ok(None) => None,
+            Ok(None) => ended.and_then(|fault| self.fail(id, fault)),
             Ok(Some((used, response))) => {
                 stream.rd += used;
-                let must_close = response
-                    .header("connection")
-                    .is_some_and(|value| value.eq_ignore_ascii_case("close"));
+                let must_close = ended.is_some()
+                    || response
+                        .header("connection")
+                        .is_some_and(|value| value.eq_ignore_ascii_case("close"));
                 let call = connection.call.take();
                 if must_close || call.is_none() {
                     self.connections.remove(id);
@@ -191,7 +200,7 @@
             .map(|(id, _)| id)
             .collect();
         ids.into_iter()
-            .filter_map(|id| self.read(id).or_else(|| self.fail(id, Fault::Unanswered)))
+            .filter_map(|id| self.read(id, false).or_else(|| self.fail(id, Fault::Unanswered)))
             .collect()
     }
 
--- a/crates/node/src/web/server.rs
+++ b/crates/node/src/web/server.rs
@@ -14,7 +14,7 @@
     message::{Invalid, Limits, Request, Response},
     MAX_BUFFERED_BYTES, MAX_IDLE_BYTES, MAX_READ_BYTES, REQUEST_TIMEOUT_US,
 };
-use crate::reactor::PRIORITY;
+use crate::reactor::{self, PRIORITY};
 
 new_key_type! {
     /// Key of a connection in its table.
@@ -145,7 +145,8 @@
 
     /// Reads what a connection has received. If the caller has disconnected, that is returned
     /// instead of its request.
-    pub fn read(&mut self, id: Id, now_us: u64) -> Option<Event> {
+    pub fn read(&mut self, id: Id, ready: Ready, now_us: u64) -> Option<Event> {
+        let stops_short = reactor::is_emptied_by_short_read(ready);
         let connection = self.connections.get_mut(id)?;
         let max_bytes = self.limits.head_bytes + self.limits.body_bytes + MAX_READ_BYTES;
         let mut disconnected = connection.stream.flush().is_err();
@@ -153,8 +154,14 @@
             if connection.stream.wr - connection.stream.rd > max_bytes {
                 break;
             }
+            let end = connection.stream.wr;
             match connection.stream.read(MAX_READ_BYTES) {
-                ReadStatus::NewData => connection.last_received_us = now_us,
+                ReadStatus::NewData => {
+                    connection.last_received_us = now_us;
+                    if stops_short && connection.stream.wr - end < MAX_READ_BYTES {
+                        break;
+                    }
+                }
                 ReadStatus::WouldBlock => break,
                 ReadStatus::EndOfStream | ReadStatus::Error(_) => disconnected = true,
             }
