--- a/crates/node/src/link.rs
+++ b/crates/node/src/link.rs
@@ -244,13 +244,15 @@
             link.stream.inp = mem::take(&mut self.spare);
         }
         loop {
-            let end = link.stream.wr;
+            let unread = link.stream.wr - link.stream.rd;
             match link.stream.read(MAX_READ_BYTES) {
                 ReadStatus::NewData if link.stream.wr - link.stream.rd > MAX_UNREAD_BYTES => {
                     closed = Some(Closed::Frame(Fault::Length));
                     break;
                 }
-                ReadStatus::NewData if stops_short && link.stream.wr - end < MAX_READ_BYTES => {
+                ReadStatus::NewData
+                    if stops_short && link.stream.wr - link.stream.rd < unread + MAX_READ_BYTES =>
+                {
                     break
                 }
                 ReadStatus::NewData => {}
--- a/crates/node/src/web/client.rs
+++ b/crates/node/src/web/client.rs
@@ -138,10 +138,12 @@
         // An answer may have arrived together with the end of its connection.
         let mut ended = None;
         while ended.is_none() {
-            let end = connection.stream.wr;
+            let unread = connection.stream.wr - connection.stream.rd;
             match connection.stream.read(MAX_READ_BYTES) {
                 ReadStatus::NewData
-                    if stops_short && connection.stream.wr - end < MAX_READ_BYTES =>
+                    if stops_short
+                        && connection.stream.wr - connection.stream.rd
+                            < unread + MAX_READ_BYTES =>
                 {
                     break;
                 }
--- a/crates/node/src/web/server.rs
+++ b/crates/node/src/web/server.rs
@@ -154,11 +154,13 @@
             if connection.stream.wr - connection.stream.rd > max_bytes {
                 break;
             }
-            let end = connection.stream.wr;
+            let unread = connection.stream.wr - connection.stream.rd;
             match connection.stream.read(MAX_READ_BYTES) {
                 ReadStatus::NewData => {
                     connection.last_received_us = now_us;
-                    if stops_short && connection.stream.wr - end < MAX_READ_BYTES {
+                    if stops_short
+                        && connection.stream.wr - connection.stream.rd < unread + MAX_READ_BYTES
+                    {
                         break;
                     }
                 }
