--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -71,6 +71,13 @@
 /// Shortest time between two polls of an upstream that does not answer, in microseconds.
 const POLL_RETRY_US: u64 = 50_000;
 
+/// Largest step of the sequence number between two reports of one incarnation that is taken for
+/// genuine: more than a day of reports, one a second.
+const MAX_SEQUENCE_JUMP: u64 = 100_000;
+/// Time by which the clock in a report may be ahead of the estimate of that clock, in milliseconds.
+/// The estimate lags by the age of the last answer, a few seconds at most.
+const MAX_CLOCK_LEAD_MS: u64 = 60_000;
+
 /// Description that an upstream VM reports of itself.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Profile {
@@ -111,6 +118,8 @@
     sequence: u64,
     /// Incarnation of the upstream.
     incarnation: u64,
+    /// Time of the report that raised the incarnation, until a poll has confirmed it.
+    incarnation_reported_us: Option<u64>,
     phase: Phase,
     clock: Clock,
     /// Fencing token for the next order; 0 until the upstream's clock is known.
@@ -150,6 +159,7 @@
             profile: None,
             sequence: 0,
             incarnation: 0,
+            incarnation_reported_us: None,
             phase: Phase::Unknown,
             clock: Clock::default(),
             fence: 0,
@@ -171,19 +181,22 @@
     }
 
     /// Applies a report of the upstream about itself. `sequence` grows within one incarnation.
-    /// Returns false if the report is no newer than one applied before, and was ignored.
+    /// Returns false if the report was ignored: because it is no newer than one applied before, or
+    /// because its numbers cannot be those of the upstream, so that later reports would be ignored.
     pub fn report(&mut self, profile: Profile, sequence: u64, clock_ms: u64, now_us: u64) -> bool {
         if profile.incarnation < self.incarnation {
             return false;
         }
         if profile.incarnation > self.incarnation {
             self.upstream_restarted(profile.incarnation, now_us);
+            self.incarnation_reported_us = Some(now_us);
+        } else if self.is_implausible(sequence, clock_ms, now_us) {
+            return false;
         } else if self.profile.is_some() && sequence <= self.sequence {
             return false;
         }
         self.sequence = sequence;
         self.clock.record(clock_ms, now_us);
-        self.fence = self.fence.max(if self.fence == 0 { clock_ms.max(1) } else { 0 });
         let changed = self.profile.as_ref() != Some(&profile);
         self.profile = Some(profile);
         if changed {
@@ -194,9 +207,18 @@
         true
     }
 
+    /// Returns whether a report of the current incarnation has a clock or sequence number far ahead
+    /// of what is known of the upstream.
+    fn is_implausible(&self, sequence: u64, clock_ms: u64, now_us: u64) -> bool {
+        let is_ahead = |estimate_ms| clock_ms > estimate_ms + MAX_CLOCK_LEAD_MS;
+        let is_known = self.profile.is_some();
+        is_known && sequence > self.sequence + MAX_SEQUENCE_JUMP
+            || self.clock.at_ms(now_us).is_some_and(is_ahead)
+    }
+
     /// Handles the upstream's notice that it is shutting down: it gets no new work.
-    pub fn upstream_leaving(&mut self, now_us: u64) {
-        if let Some(profile) = &mut self.profile {
+    pub fn upstream_leaving(&mut self, name: &str, now_us: u64) {
+        if let Some(profile) = self.profile.as_mut().filter(|profile| *profile.name == *name) {
             profile.ready = false;
         }
         self.update(now_us);
--- a/crates/dispatch/src/worker/poll.rs
+++ b/crates/dispatch/src/worker/poll.rs
@@ -63,13 +63,19 @@
         self.poll_pending = false;
         self.poll_due_us = now_us;
         self.missed_polls = 0;
-        if listing.incarnation < self.incarnation {
+        // The report of a new incarnation is false if a poll that was sent after it still reaches
+        // the earlier one.
+        let is_report_false = self
+            .incarnation_reported_us
+            .is_some_and(|reported_us| listing.incarnation != 0 && reported_us < self.poll_sent_us);
+        if listing.incarnation < self.incarnation && !is_report_false {
             self.update(now_us);
             return;
         }
-        if listing.incarnation > self.incarnation {
+        if listing.incarnation != self.incarnation {
             self.upstream_restarted(listing.incarnation, now_us);
         }
+        self.incarnation_reported_us = None;
         self.clock.record(listing.clock_ms, now_us);
         if self.fence == 0 {
             self.fence = listing.clock_ms.max(1);
--- a/crates/dispatch/tests/worker.rs
+++ b/crates/dispatch/tests/worker.rs
@@ -43,6 +43,8 @@
     let mut supervisor = Supervisor::open();
     let (entry, _) = supervisor.connected("entry", 1, now_us);
     supervisor.report(profile(1, true), 1, CLOCK_MS, now_us);
+    // The first answer gives the fencing token under which the second one counts.
+    answer_poll(&mut supervisor, vec![], vec![], now_us);
     answer_poll(&mut supervisor, vec![], vec![], now_us);
     assert!(supervisor.is_accepting());
     (supervisor, entry)
@@ -255,6 +257,9 @@
     supervisor.connected("entry", 1, now_us);
     supervisor.report(profile(1, true), 1, CLOCK_MS, now_us);
     let unknown = vec![("other".into(), 4, 50)];
+    // The first poll has no fencing token, so a late start of an earlier sidecar could follow it.
+    answer_poll(&mut supervisor, vec![], vec![], now_us);
+    assert!(!supervisor.is_accepting());
     let effects = answer_poll(&mut supervisor, unknown, vec![], now_us);
     assert!(effects.iter().any(|effect| matches!(
         effect,
@@ -275,9 +280,9 @@
 /// sidecar is stopping.
 #[rstest]
 #[case::drains(|s: &mut Supervisor, now_us| { s.report(profile(1, false), 2, CLOCK_MS, now_us); })]
-#[case::leaves(|s: &mut Supervisor, now_us| s.upstream_leaving(now_us))]
+#[case::leaves(|s: &mut Supervisor, now_us| s.upstream_leaving("upstream", now_us))]
 #[case::sidecar_stops(|s: &mut Supervisor, now_us| s.stop_accepting(now_us))]
-#[case::down(|s: &mut Supervisor, now_us| s.poll_failed(2, Reply::Down, None, now_us))]
+#[case::down(|s: &mut Supervisor, now_us| s.poll_failed(3, Reply::Down, None, now_us))]
 fn nothing_starts_on_an_unavailable_upstream(#[case] event: fn(&mut Supervisor, u64)) {
     let now_us = 1_000_000;
     let (mut supervisor, entry) = open_supervisor(now_us);
@@ -533,6 +538,45 @@
     assert_eq!(grants.count(), 1);
 }
 
+/// Guards against a sidecar that ignores its upstream for good after one report of another writer,
+/// whose numbers no later report exceeds.
+#[rstest]
+#[case::sequence(1, u64::MAX, CLOCK_MS)]
+#[case::clock(1, 2, 1 << 47)]
+#[case::incarnation(u64::MAX, 1, CLOCK_MS)]
+#[case::all(u64::MAX, u64::MAX, 1 << 47)]
+fn a_report_with_odd_numbers_does_not_replace_the_upstream(
+    #[case] incarnation: u64,
+    #[case] sequence: u64,
+    #[case] clock_ms: u64,
+) {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open_supervisor(now_us);
+    start_accepted(&mut supervisor, entry, 1, now_us);
+    let name: Arc<str> = "task-1".into();
+    supervisor.report(profile(incarnation, true), sequence, clock_ms, now_us + 100_000);
+    for at_us in [now_us + 110_000, now_us + 120_000, now_us + 130_000] {
+        supervisor.tick(at_us);
+        answer_poll(&mut supervisor, vec![(name.clone(), 1, 50)], vec![], at_us);
+    }
+    supervisor.report(profile(1, true), 3, CLOCK_MS + 1_200, now_us + 200_000);
+    supervisor.tick(now_us + 210_000);
+    answer_poll(&mut supervisor, vec![(name, 1, 60)], vec![], now_us + 210_000);
+    assert!(supervisor.is_accepting());
+    assert_eq!((supervisor.running(), supervisor.waiting()), (1, 0));
+    supervisor.report(profile(1, false), 4, CLOCK_MS + 1_300, now_us + 300_000);
+    assert!(!supervisor.is_accepting(), "later reports are followed");
+}
+
+/// Guards against an upstream that gets no more work because another one, or an earlier one at its
+/// address, says late that it leaves.
+#[test]
+fn only_the_upstream_itself_can_leave() {
+    let (mut supervisor, _) = open_supervisor(1_000_000);
+    supervisor.upstream_leaving("another", 1_000_000);
+    assert!(supervisor.is_accepting());
+}
+
 /// Guards against an entry that chooses a full sidecar again because the refusal told it nothing of
 /// the load.
 #[test]
--- a/crates/node/src/runs/protocol.rs
+++ b/crates/node/src/runs/protocol.rs
@@ -125,8 +125,11 @@
         /// Clock of the upstream, in milliseconds.
         clock_ms: u64,
     },
-    /// The upstream is shutting down.
-    Leave,
+    /// An upstream is shutting down.
+    Leave {
+        /// Name of the upstream.
+        name: String,
+    },
     /// Call that cannot be parsed or describes no usable upstream; the text gives the reason.
     Invalid(String),
 }
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -516,12 +516,14 @@
             let status = match (self.protocol.parse_notification)(&request) {
                 Notification::Report { profile, sequence, clock_ms } => {
                     log::debug!("event=report sequence={sequence} ready={}", profile.ready);
-                    self.supervisor.report(profile, sequence, clock_ms, now_us);
+                    if !self.supervisor.report(profile, sequence, clock_ms, now_us) {
+                        log::info!("event=report_ignored sequence={sequence} clock_ms={clock_ms}");
+                    }
                     200
                 }
-                Notification::Leave => {
-                    log::info!("event=upstream_leaves");
-                    self.supervisor.upstream_leaving(now_us);
+                Notification::Leave { name } => {
+                    log::info!("event=upstream_leaves upstream={name}");
+                    self.supervisor.upstream_leaving(&name, now_us);
                     200
                 }
                 Notification::Invalid(reason) => {
