--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -44,9 +44,9 @@
 /// Time between two grants to an entry at which jobs wait for capacity, in microseconds. It is
 /// multiplied by the number of such entries, so that the rate of these messages does not grow with
 /// that number.
-pub const LOAD_INTERVAL_US: u64 = 5_000;
+pub const LOAD_INTERVAL_US: u64 = 2_500;
 /// Lower bound of that time, in microseconds.
-pub const MIN_LOAD_INTERVAL_US: u64 = 20_000;
+pub const MIN_LOAD_INTERVAL_US: u64 = 10_000;
 /// Time after which a stop is sent again if its run is still listed, in microseconds.
 const STOP_RETRY_US: u64 = 60_000;
 /// Time after which the first order for a start counts as unanswered, in microseconds. An upstream
