Read each value of the store by itself

Cause: a listing and a watch failed as a whole because of one value that is not UTF-8 text, and the failure was logged as a store that cannot be reached. No entry followed the store any more, for good, while kingcupctl went on accepting revisions. Besides, a document under the key of another service was applied to its own: one with revision 1,000,000 kept every later change from coming into force.

Change: values are decoded one by one. A value that is no document of the service that its key names is skipped, logged once for each store revision, counted in kingcup_tables as unreadable_values and named by kingcupctl status; the last good document of that service stays in force. A watch also tells of deleted keys. Revisions are at most 2 to the power of 53. Tests of the store read Stored by text(), as a value need not be text.

--- a/crates/dispatch/src/document/check.rs
+++ b/crates/dispatch/src/document/check.rs
@@ -26,6 +26,8 @@
 
 /// Maximum sum of the shares of all kinds, in percent.
 const MAX_SHARES_PERCENT: u64 = 100;
+/// Highest revision of a document; above it, not all readers of JSON represent whole numbers exactly.
+const MAX_REVISION: u64 = 1 << 53;
 
 /// Kind of fault in a document.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
@@ -316,8 +318,8 @@
     let envelope: Envelope = serde_json::from_str(text).map_err(|error| syntax(&error))?;
     let value: Value = serde_json::from_str(text).map_err(|error| syntax(&error))?;
     check_value(&value["document"])?;
-    if envelope.revision == 0 {
-        let allowed = "a whole number from 1";
+    if !(1..=MAX_REVISION).contains(&envelope.revision) {
+        let allowed = "a whole number from 1 to 2 to the power of 53";
         return Err(invalid("revision".to_owned(), &value["revision"], allowed));
     }
     Ok(envelope)
--- a/crates/node/src/entry/admin.rs
+++ b/crates/node/src/entry/admin.rs
@@ -23,6 +23,7 @@
     ready: bool,
     closing: bool,
     store_up: bool,
+    unreadable: Vec<&'a str>,
     revisions: std::collections::BTreeMap<&'a str, u64>,
     sidecars: Vec<SidecarStatus<'a>>,
     entries: Vec<EntryStatus<'a>>,
@@ -100,6 +101,7 @@
             ready: self.readiness(now_us).status == 200,
             closing: self.stop.is_closing(),
             store_up: self.store.reachable,
+            unreadable: self.store.unreadable.keys().map(String::as_str).collect(),
             revisions: self.documents.revisions().into_iter().collect(),
             sidecars: self.sidecar_statuses(),
             entries: self.entry_statuses(),
@@ -176,6 +178,7 @@
             sample("clients", self.ledger.clients() as u64),
             sample("records_running", self.ledger.running() as u64),
             sample("record_bytes", self.ledger.answer_bytes() as u64),
+            sample("unreadable_values", self.store.unreadable.len() as u64),
         ]
     }
 
--- a/crates/node/src/entry/documents.rs
+++ b/crates/node/src/entry/documents.rs
@@ -8,16 +8,30 @@
 use kingcup_wire::{Document, Frame};
 use stakker::CX;
 
-use super::{
-    services,
-    watcher::{Event, Status},
-    Entry,
+use super::{services, watcher::Event, Entry};
+use crate::{
+    link::Id,
+    reactor,
+    store::{Stored, Value, SERVICES},
 };
-use crate::{link::Id, reactor};
 
 /// Microseconds in a millisecond.
 const MS_US: u64 = 1_000;
 
+/// Largest number of keys that are kept because their values cannot be used.
+const MAX_UNREADABLE: usize = 64;
+
+/// Parses a stored document. It must be one of the service that its key names.
+fn parse_stored(stored: &Stored) -> Result<Version, String> {
+    let text = stored.text().ok_or("not UTF-8 text")?;
+    let version = Version::parse(text).map_err(|fault| fault.to_string())?;
+    let service = &version.envelope.document.service;
+    if stored.key.strip_prefix(SERVICES) != Some(service.as_str()) {
+        return Err(format!("document of another service, {service}"));
+    }
+    Ok(version)
+}
+
 impl Entry {
     /// Returns the service of this name, and adds it if it is missing. Returns `None` if there are
     /// too many services.
@@ -43,15 +57,18 @@
     pub(super) fn handle_store_event(&mut self, cx: CX![], event: Event) {
         let now_us = reactor::now_us(cx);
         match event {
-            Event::Listed(texts) => {
-                self.store = Status { reachable: true, loaded: true };
-                for text in texts {
-                    self.offer(&text, Source::Store, "store", now_us);
+            Event::Listed(values) => {
+                self.store.reachable = true;
+                self.store.loaded = true;
+                let is_listed = |key: &String| values.iter().any(|stored| stored.key == *key);
+                self.store.unreadable.retain(|key, _| is_listed(key));
+                for stored in values {
+                    self.offer_stored(&stored, now_us);
                 }
                 self.documents.note_store_read();
                 self.apply_deferred(now_us);
             }
-            Event::Changed(text) => self.offer(&text, Source::Store, "store", now_us),
+            Event::Changed(stored) => self.offer_stored(&stored, now_us),
             Event::Failed(reason) => {
                 self.store.reachable = false;
                 log::warn!("event=store_unavailable reason=\"{reason}\"");
@@ -60,22 +77,49 @@
         self.apply_and_flush(now_us);
     }
 
+    /// Applies a stored document. A value that is not a document of the service that its key names is
+    /// skipped, and the last good document of that service stays in force.
+    fn offer_stored(&mut self, stored: &Stored, now_us: u64) {
+        if stored.value == Value::Deleted {
+            self.store.unreadable.remove(&stored.key);
+            return;
+        }
+        match parse_stored(stored) {
+            Ok(version) => {
+                self.store.unreadable.remove(&stored.key);
+                self.offer(version, Source::Store, "store", now_us);
+            }
+            Err(reason) => self.note_unreadable(stored, &reason),
+        }
+    }
+
+    /// Records a key whose value cannot be used, and logs it unless this value was logged before.
+    fn note_unreadable(&mut self, stored: &Stored, reason: &str) {
+        let unreadable = &mut self.store.unreadable;
+        let is_known = unreadable.contains_key(&stored.key);
+        if !is_known && unreadable.len() >= MAX_UNREADABLE {
+            return;
+        }
+        let previous = unreadable.insert(stored.key.clone(), stored.mod_revision);
+        if previous != Some(stored.mod_revision) {
+            let Stored { key, mod_revision, .. } = stored;
+            log::warn!("event=value_unreadable key={key:?} at={mod_revision} reason=\"{reason}\"");
+        }
+    }
+
     /// Handles a document that another process has sent. Revision 0 means that it has none.
     pub(super) fn receive_document(&mut self, from: &str, document: &Document<'_>, now_us: u64) {
         if document.revision == 0 {
             return self.documents.note_unreachable(document.service, from);
         }
-        self.offer(document.text, Source::Peer, from, now_us);
+        match Version::parse(document.text) {
+            Ok(version) => self.offer(version, Source::Peer, from, now_us),
+            Err(fault) => log::warn!("event=document_rejected from={from} fault=\"{fault}\""),
+        }
     }
 
-    /// Parses a document and applies it if it is the newest revision of its service.
-    fn offer(&mut self, text: &str, source: Source, from: &str, now_us: u64) {
-        let version = match Version::parse(text) {
-            Ok(version) => version,
-            Err(fault) => {
-                return log::warn!("event=document_rejected from={from} fault=\"{fault}\"");
-            }
-        };
+    /// Applies a document if it is the newest revision of its service.
+    fn offer(&mut self, version: Version, source: Source, from: &str, now_us: u64) {
         let service = version.envelope.document.service.clone();
         if self.documents.offer(version, source, now_us / MS_US) == Verdict::Applied {
             self.apply_document(&service, from, now_us);
--- a/crates/node/src/entry/watcher.rs
+++ b/crates/node/src/entry/watcher.rs
@@ -1,6 +1,7 @@
 //! Thread that lists and watches the documents in the configuration store.
 
 use std::{
+    collections::BTreeMap,
     io,
     net::SocketAddr,
     sync::{
@@ -16,7 +17,7 @@
     Core, Fwd,
 };
 
-use crate::store::{Client, Fault, Limits, SERVICES};
+use crate::store::{Client, Fault, Limits, Stored, SERVICES};
 
 /// Delay after a failed call, and interval at which a disabled watcher checks whether it is
 /// enabled.
@@ -25,10 +26,10 @@
 /// Result of a call to the store.
 #[derive(Debug)]
 pub enum Event {
-    /// Texts of all documents.
-    Listed(Vec<String>),
-    /// Text of a document that was written.
-    Changed(String),
+    /// All stored documents.
+    Listed(Vec<Stored>),
+    /// A document that was written or deleted.
+    Changed(Stored),
     /// The call failed for this reason. Reported once per outage.
     Failed(String),
 }
@@ -40,6 +41,8 @@
     pub reachable: bool,
     /// True if all documents were listed at least once.
     pub loaded: bool,
+    /// Store revision of each key whose value is not a document of the service that the key names.
+    pub unreadable: BTreeMap<String, u64>,
 }
 
 /// Handle of the watcher's thread. Without a store there is no thread.
@@ -108,14 +111,13 @@
 ) -> Result<(), Fault> {
     let listing = client.list(SERVICES)?;
     *failing = false;
-    let texts = listing.values.into_iter().map(|stored| stored.value).collect();
-    channel.send(Event::Listed(texts));
+    channel.send(Event::Listed(listing.values));
     let mut after = listing.revision;
     while enabled.load(Ordering::Relaxed) && !channel.is_closed() {
         let opened = Instant::now();
         let mut watch = client.watch(SERVICES, after)?;
         for stored in watch.by_ref() {
-            channel.send(Event::Changed(stored?.value));
+            channel.send(Event::Changed(stored?));
         }
         let idle = watch.revision() <= after;
         after = after.max(watch.revision());
--- a/crates/node/src/publish.rs
+++ b/crates/node/src/publish.rs
@@ -97,6 +97,11 @@
         /// Reason why the outcome is unknown.
         reason: String,
     },
+    /// stored document of service {service} is not UTF-8 text
+    Unreadable {
+        /// Name of the service.
+        service: String,
+    },
     /// stored document of service {service} is not valid: {fault}
     Corrupt {
         /// Name of the service.
@@ -112,7 +117,10 @@
     /// Returns the result code of the fault.
     pub fn code(&self) -> Code {
         match self {
-            Self::Invalid(_) | Self::Label { .. } | Self::Corrupt { .. } => Code::DocumentInvalid,
+            Self::Invalid(_)
+            | Self::Label { .. }
+            | Self::Unreadable { .. }
+            | Self::Corrupt { .. } => Code::DocumentInvalid,
             Self::Reused { .. } | Self::Conflict { .. } => Code::Conflict,
             Self::ReadFailed(_) | Self::Unavailable(_) => Code::StoreUnavailable,
             Self::Unknown { .. } => Code::ChangeUnknown,
@@ -133,7 +141,8 @@
 }
 
 fn parse(service: &str, stored: &Stored) -> Result<Snapshot, Fault> {
-    let envelope = check_envelope(&stored.value)
+    let text = stored.text().ok_or_else(|| Fault::Unreadable { service: service.to_owned() })?;
+    let envelope = check_envelope(text)
         .map_err(|fault| Fault::Corrupt { service: service.to_owned(), fault })?;
     Ok(Snapshot { envelope, mod_revision: stored.mod_revision })
 }
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -15,15 +15,37 @@
 /// Key-value pair in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Stored {
-    /// Key.
+    /// Key. Bytes that are not UTF-8 are replaced.
     pub key: String,
     /// Value.
-    pub value: String,
+    pub value: Value,
     /// Revision of the store at which the value was written. Revisions are unique and increase with
     /// each write.
     pub mod_revision: u64,
 }
 
+/// Value of a key. Other writers may leave bytes of any kind, which must not hold up the values of
+/// other keys.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Value {
+    /// Text.
+    Text(String),
+    /// Bytes that are not UTF-8 text.
+    Unreadable,
+    /// The key was deleted; only in a watch.
+    Deleted,
+}
+
+impl Stored {
+    /// Returns the value if it is text.
+    pub fn text(&self) -> Option<&str> {
+        match &self.value {
+            Value::Text(text) => Some(text),
+            Value::Unreadable | Value::Deleted => None,
+        }
+    }
+}
+
 /// All values whose keys have a common prefix.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Listing {
--- a/crates/node/src/store/gateway.rs
+++ b/crates/node/src/store/gateway.rs
@@ -3,7 +3,7 @@
 use base64::{engine::general_purpose::STANDARD, Engine};
 use serde::{de, Deserialize, Deserializer, Serialize, Serializer};
 
-use super::Stored;
+use super::{Stored, Value};
 
 /// Bytes that are serialized as base64.
 #[derive(Debug, Clone, Copy)]
@@ -15,10 +15,8 @@
     }
 }
 
-fn decode_text<'de, D: Deserializer<'de>>(deserializer: D) -> Result<String, D::Error> {
-    let encoded = String::deserialize(deserializer)?;
-    let bytes = STANDARD.decode(encoded).map_err(de::Error::custom)?;
-    String::from_utf8(bytes).map_err(de::Error::custom)
+fn decode_bytes<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
+    STANDARD.decode(String::deserialize(deserializer)?).map_err(de::Error::custom)
 }
 
 fn decode_integer<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
@@ -50,17 +48,21 @@
 
 #[derive(Debug, Deserialize)]
 pub(super) struct KeyValue {
-    #[serde(deserialize_with = "decode_text")]
-    key: String,
-    #[serde(default, deserialize_with = "decode_text")]
-    value: String,
+    #[serde(deserialize_with = "decode_bytes")]
+    key: Vec<u8>,
+    #[serde(default, deserialize_with = "decode_bytes")]
+    value: Vec<u8>,
     #[serde(default, deserialize_with = "decode_integer")]
     pub mod_revision: u64,
 }
 
 impl From<KeyValue> for Stored {
     fn from(pair: KeyValue) -> Self {
-        Self { key: pair.key, value: pair.value, mod_revision: pair.mod_revision }
+        Self {
+            key: String::from_utf8_lossy(&pair.key).into_owned(),
+            value: String::from_utf8(pair.value).map_or(Value::Unreadable, Value::Text),
+            mod_revision: pair.mod_revision,
+        }
     }
 }
 
--- a/crates/node/src/store/watch.rs
+++ b/crates/node/src/store/watch.rs
@@ -8,9 +8,9 @@
 
 use ureq::{Body, BodyReader, Timeout};
 
-use super::{gateway::Streamed, Fault, Stored};
+use super::{gateway::Streamed, Fault, Stored, Value};
 
-/// Iterator over values written under a prefix, in the order in which they were written. Ends when
+/// Iterator over values written and keys deleted under a prefix, in the order in which they were written. Ends when
 /// its lifetime is over or the store closes the stream. The next watch then continues from
 /// `revision`.
 pub struct Watch {
@@ -65,11 +65,12 @@
         }
         for event in streamed.result.events {
             let deleted = event.kind.as_deref() == Some("DELETE");
-            let stored = Stored::from(event.kv);
+            let mut stored = Stored::from(event.kv);
             self.revision = self.revision.max(stored.mod_revision);
-            if !deleted {
-                self.ready.push_back(stored);
+            if deleted {
+                stored.value = Value::Deleted;
             }
+            self.ready.push_back(stored);
         }
         Ok(())
     }
--- a/crates/node/tests/publish.rs
+++ b/crates/node/tests/publish.rs
@@ -80,7 +80,7 @@
     let written: Vec<(String, u64)> = client
         .watch(SERVICES, 0)
         .unwrap()
-        .map(|stored| check_envelope(&stored.unwrap().value).unwrap())
+        .map(|stored| check_envelope(stored.unwrap().text().unwrap()).unwrap())
         .map(|envelope| (envelope.changes.last().unwrap().id.clone(), envelope.revision))
         .collect();
     let revisions: Vec<u64> = written.iter().map(|(_, revision)| *revision).collect();
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -3,7 +3,7 @@
 
 use std::net::TcpListener;
 
-use kingcup_node::store::{Client, Fault, Limits, Swap};
+use kingcup_node::store::{Client, Fault, Limits, Swap, Value};
 use kingcup_standin::store::{Control, Lost, Mode, Server};
 use rstest::rstest;
 
@@ -21,7 +21,7 @@
     assert_eq!(client.get("/a").unwrap(), None);
     assert_eq!(client.put_if("/a", "one", 0).unwrap(), Swap::Written(1));
     let stored = client.get("/a").unwrap();
-    assert_eq!(stored.as_ref().unwrap().value, "one");
+    assert_eq!(stored.as_ref().unwrap().text(), Some("one"));
     assert_eq!(client.put_if("/a", "two", 0).unwrap(), Swap::Changed(stored));
     assert_eq!(client.put_if("/b", "three", 1).unwrap(), Swap::Changed(None));
     let listing = client.list("/").unwrap();
@@ -56,12 +56,12 @@
     client.put_if("/s/a", "1", 0).unwrap();
     client.put_if("/t/a", "elsewhere", 0).unwrap();
     let mut watch = client.watch("/s/", 0).unwrap();
-    assert_eq!(watch.next().unwrap().unwrap().value, "1");
+    assert_eq!(watch.next().unwrap().unwrap().text(), Some("1"));
     assert_eq!(watch.next(), None, "watch did not end");
     client.put_if("/s/a", "2", 1).unwrap();
     client.put_if("/s/a", "3", 3).unwrap();
     let watch = client.watch("/s/", watch.revision()).unwrap();
-    let values: Vec<String> = watch.map(|stored| stored.unwrap().value).collect();
-    assert_eq!(values, ["2", "3"]);
+    let values: Vec<Value> = watch.map(|stored| stored.unwrap().value).collect();
+    assert_eq!(values, ["2", "3"].map(|text| Value::Text(text.to_owned())));
     assert_eq!(server.counters().watch, 2);
 }
--- a/crates/proof/tests/configuration.rs
+++ b/crates/proof/tests/configuration.rs
@@ -12,6 +12,7 @@
     time::Duration,
 };
 
+use base64::{prelude::BASE64_STANDARD, Engine};
 use kingcup_proof::harness::{
     http, port,
     process::{binary, spawn, Program},
@@ -150,6 +151,20 @@
         self.ctl(&["--wait", "apply", document.to_str().unwrap()])
     }
 
+    /// Writes a value as another program would.
+    fn put(&self, key: &str, value: &[u8]) {
+        let encode = |bytes: &[u8]| BASE64_STANDARD.encode(bytes);
+        let put = json!({"key": encode(key.as_bytes()), "value": encode(value)});
+        let compare = json!({"key": encode(key.as_bytes()), "target": "MOD", "result": "EQUAL",
+                             "mod_revision": "0"});
+        let body = json!({"compare": [compare], "success": [{"request_put": put}],
+                          "failure": []});
+        let address = self.store.address();
+        let reply =
+            http::post(&http::agent(CALL), address, "/v3/kv/txn", &[], body.to_string().as_bytes());
+        assert_eq!(reply.unwrap().status, 200);
+    }
+
     fn wait_everywhere(&self, revision: u64) {
         for process in self.processes.iter().filter(|one| one.program.is_some()) {
             let what = format!("revision {revision} at {}", process.name);
@@ -214,6 +229,41 @@
     assert_eq!(deployment.ctl(&["status", SERVICE]).0, 0);
 }
 
+/// Guards against a value of another writer that keeps all entries from following the store, takes
+/// the place of a document, or goes unnoticed.
+#[rstest]
+#[case::not_text(b"\xff\xfe\0".to_vec())]
+#[case::deeply_nested("[".repeat(100_000).into_bytes())]
+#[case::number_too_large(br#"{"revision":1e400}"#.to_vec())]
+#[case::empty(Vec::new())]
+#[case::document_of_another_service(newer_document())]
+fn an_odd_value_in_the_store_holds_up_no_document(#[case] odd: Vec<u8>) {
+    let mut deployment = start();
+    assert_eq!(deployment.apply(1).0, 0);
+    deployment.put("/kingcup/services/odd3", &odd);
+    let (exit, report) = deployment.apply(2);
+    assert_eq!((exit, &report["revision"]), (0, &json!(2)), "{report}");
+    // An entry that starts afterwards lists the odd value with the others.
+    deployment.kill([0]);
+    deployment.spawn(0);
+    deployment.wait_everywhere(2);
+    let is_named = || {
+        let (_, report) = deployment.ctl(&["status", SERVICE]);
+        report.to_string().contains("/kingcup/services/odd3").then_some(())
+    };
+    until("the status names the odd key", is_named).unwrap();
+    assert_eq!(deployment.apply(3).0, 0);
+}
+
+/// A document of the service with a revision far above the stored one.
+fn newer_document() -> Vec<u8> {
+    let kind = json!({"name": "push", "urgency": "high", "share_percent": 50,
+                      "deadline_ms": 500, "timeout_ms": 2000, "max_waiting": 100});
+    let document = json!({"service": SERVICE, "team": "desk", "upstream_path": "/run",
+                          "quota_per_s": 9, "kinds": [kind]});
+    json!({"revision": 1_000_000, "changes": [], "document": document}).to_string().into_bytes()
+}
+
 /// Guards against processes that start during an outage and refuse work for its whole length, or
 /// start on an older revision than their peers have.
 #[rstest]
--- a/crates/tools/src/ctl/status.rs
+++ b/crates/tools/src/ctl/status.rs
@@ -24,6 +24,9 @@
     #[serde(default)]
     service: Option<String>,
     revisions: BTreeMap<String, u64>,
+    /// Keys of the store whose values an entry cannot use.
+    #[serde(default)]
+    unreadable: Vec<String>,
 }
 
 /// Whether a process has a revision in force.
@@ -49,6 +52,8 @@
     closing: Option<bool>,
     #[serde(skip_serializing_if = "Option::is_none")]
     reason: Option<String>,
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    unreadable: Vec<String>,
 }
 
 impl Status {
@@ -95,7 +100,15 @@
         Ok(status) => status,
         Err(reason) => {
             let (state, reason) = (State::NoAnswer, Some(reason));
-            return Row { address, state, name: None, revision: None, closing: None, reason };
+            return Row {
+                address,
+                state,
+                name: None,
+                revision: None,
+                closing: None,
+                reason,
+                unreadable: Vec::new(),
+            };
         }
     };
     let in_force = status.revisions.get(service).copied();
@@ -105,7 +118,15 @@
         _ => State::Older,
     };
     let closing = Some(status.closing);
-    Row { address, state, name: Some(status.name), revision: in_force, closing, reason: None }
+    Row {
+        address,
+        state,
+        name: Some(status.name),
+        revision: in_force,
+        closing,
+        reason: None,
+        unreadable: status.unreadable,
+    }
 }
 
 /// Returns the line of a process in the printed report.
@@ -118,7 +139,9 @@
         (None, None) => "no revision".to_owned(),
     };
     let closing = if row.closing == Some(true) { ", shutting down" } else { "" };
-    format!("{} {name}: {state}{closing}", row.address)
+    let unreadable: String =
+        row.unreadable.iter().map(|key| format!(", cannot use the value of {key:?}")).collect();
+    format!("{} {name}: {state}{closing}{unreadable}", row.address)
 }
 
 /// Returns the report on a revision, with code `Complete` only if all processes concerned have it.
