Take requests from a server that was replaced after an error

Cause: tiny_http answers a request with status 500 and no body if its server is dropped before the request was taken. The server is replaced when accepting fails, and its connections, or one that its accept thread took as its last, may hold requests then. That is the 500 without a code that too_many_connections_do_not_end_the_service met.

Change: replaced servers are kept for 60 s and asked for requests.

--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -190,9 +190,9 @@
         if profile.incarnation > self.incarnation {
             self.upstream_restarted(profile.incarnation, now_us);
             self.incarnation_reported_us = Some(now_us);
-        } else if self.is_implausible(sequence, clock_ms, now_us) {
-            return false;
-        } else if self.profile.is_some() && sequence <= self.sequence {
+        } else if self.is_implausible(sequence, clock_ms, now_us)
+            || self.profile.is_some() && sequence <= self.sequence
+        {
             return false;
         }
         self.sequence = sequence;
--- a/crates/node/src/http.rs
+++ b/crates/node/src/http.rs
@@ -4,6 +4,7 @@
 mod waker;
 
 use std::{
+    collections::VecDeque,
     io::{self, Read},
     net::{SocketAddr, TcpListener},
     panic,
@@ -13,7 +14,7 @@
         Arc, Mutex, Once,
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use stakker::{sync::Channel, Core, Fwd};
@@ -36,6 +37,12 @@
 const PANIC_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay before the server is started again after an error.
 const RESTART_PAUSE: Duration = Duration::from_millis(100);
+/// Time for which requests are taken from connections that a server accepted before it was replaced.
+const RETIRED_TIME: Duration = Duration::from_secs(60);
+/// Interval at which replaced servers are asked for requests.
+const RETIRED_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Maximum number of replaced servers.
+const MAX_RETIRED: usize = 16;
 
 /// A request with its complete body.
 pub struct Call {
@@ -99,8 +106,8 @@
     }
 }
 
-/// Handle through which a request is answered. If it is dropped without an answer, the connection
-/// is closed.
+/// Handle through which a request is answered. If it is dropped without an answer, `tiny_http`
+/// answers with status 500 and no body.
 pub struct Reply {
     request: Request,
     writers: SyncSender<Outgoing>,
@@ -135,7 +142,8 @@
 }
 
 impl Reply {
-    /// Queues the answer for a writer. If the queue is full, drops it and closes the connection.
+    /// Queues the answer for a writer. If the queue is full, drops it; `tiny_http` then answers with
+    /// status 500 and no body.
     pub fn send(self, answer: Answer) {
         let outgoing = Outgoing { request: self.request, answer };
         if let Err(TrySendError::Full(_)) = self.writers.try_send(outgoing) {
@@ -191,26 +199,64 @@
     Server::from_listener(listener.try_clone()?, None).map_err(io::Error::other)
 }
 
+/// Servers that were replaced after an error. `tiny_http` answers a request with status 500 and no
+/// body if its server is dropped before the request was taken, so these are kept for some time.
+struct Retired(VecDeque<(Instant, Server)>);
+
+impl Retired {
+    fn add(&mut self, server: Server, now: Instant) {
+        if self.0.len() >= MAX_RETIRED {
+            self.0.pop_front();
+        }
+        self.0.push_back((now, server));
+    }
+
+    /// Takes the requests that have arrived on connections of these servers, and drops the servers
+    /// that were replaced long ago.
+    fn take_requests(&mut self, intake: &Arc<Intake>, now: Instant) {
+        self.0.retain(|(since, _)| now.duration_since(*since) < RETIRED_TIME);
+        for (_, server) in &self.0 {
+            // An error is that of the accept thread, which may be queued before further requests.
+            while let Some(request) = server.try_recv().unwrap_or_default() {
+                intake.clone().accept(request);
+            }
+        }
+    }
+
+    /// Returns the longest time to wait for a request of the current server.
+    fn check_interval(&self) -> Duration {
+        if self.0.is_empty() {
+            PANIC_CHECK_INTERVAL
+        } else {
+            RETIRED_CHECK_INTERVAL
+        }
+    }
+}
+
 /// Receives requests until the process ends. `tiny_http` stops accepting for good after an error of
 /// the kernel, such as too many open files; it is then started again on the same port.
 fn receive_requests(listener: &TcpListener, first: Server, waker: &Waker, intake: &Arc<Intake>) {
     let mut server = Some(first);
+    let mut retired = Retired(VecDeque::new());
     loop {
-        if let Some(server) = &server {
+        if let Some(server) = server.take() {
             let panics = PANICS.load(Ordering::Relaxed);
             // `tiny_http` does not report a panic of its accept thread, which occurs for example
             // when an accepted socket cannot be duplicated.
-            while let Ok(request) = server.recv_timeout(PANIC_CHECK_INTERVAL) {
+            while let Ok(request) = server.recv_timeout(retired.check_interval()) {
                 if let Some(request) = request {
                     waker.notify();
                     intake.clone().accept(request);
                 } else if PANICS.load(Ordering::Relaxed) != panics {
                     break;
                 }
+                retired.take_requests(intake, Instant::now());
             }
             log::error!("event=accept_failed pause_ms={}", RESTART_PAUSE.as_millis());
+            retired.add(server, Instant::now());
         }
         thread::park_timeout(RESTART_PAUSE);
+        retired.take_requests(intake, Instant::now());
         server = open_server(listener).ok();
     }
 }
