Test the service and the control messages of a large fleet in virtual time

35 entries and 160 workers with uneven callers: usual and high load, floods of large and urgent jobs; and messages a start at 12 and at 35 entries. The bounds are the users' targets.

--- a/crates/bench/tests/runs.rs
+++ b/crates/bench/tests/runs.rs
@@ -67,6 +67,55 @@
     assert_rules(&outcome);
 }
 
+/// The users' large fleet, with callers spread unevenly over the entries.
+const LARGE: Size =
+    Size { entries: 35, sidecars: 160, cores: 32_000, zones: 6, limited: true, skewed: true };
+
+/// Plays 4 s of load on the large fleet; bursts last from 1 s to 3 s.
+fn play_large(rate: f64, burst: Option<(usize, f64)>) -> (Vec<Arrival>, Outcome) {
+    let burst =
+        burst.map(|(kind, factor)| Burst { kind, factor, from_us: 1_000_000, to_us: 3_000_000 });
+    let bursts: Vec<Burst> = burst.into_iter().collect();
+    let arrivals = load::draw(&load::kinds(5_000), &bursts, 9.0 * rate, 4_000_000, 7);
+    World::open(LARGE, arrivals, [], 7).run(8_000_000)
+}
+
+/// Guards against a large fleet in which an entry knows too few workers for its callers, or so many
+/// entries know the same workers that they get in each other's way.
+#[rstest]
+#[case::usual(1.0, None, 0.99)]
+#[case::high(1.2, None, 0.95)]
+#[case::flood_of_large_jobs(1.0, Some((1, 2.4)), TARGET)]
+#[case::flood_of_urgent_jobs(1.0, Some((0, 2.4)), TARGET)]
+fn a_large_fleet_with_uneven_callers_keeps_its_service(
+    #[case] rate: f64,
+    #[case] burst: Option<(usize, f64)>,
+    #[case] least: f64,
+) {
+    let (arrivals, outcome) = play_large(rate, burst);
+    for kind in (0..3).filter(|kind| burst.is_none_or(|(flooding, _)| flooding != *kind)) {
+        let kept = served(&arrivals, &outcome, kind);
+        assert!(kept >= least, "kind {kind} keeps {kept}");
+    }
+    assert_rules(&outcome);
+}
+
+/// Guards against control messages that grow with the product of entries and sidecars: at three
+/// times the entries and sidecars, a start costs about as many.
+#[test]
+fn control_messages_of_a_start_do_not_grow_with_the_fleet() {
+    let per_start = |entries, sidecars| {
+        let size = Size { entries, sidecars, skewed: false, ..LARGE };
+        let rate = 9.0 * sidecars as f64 / LARGE.sidecars as f64;
+        let arrivals = load::draw(&load::kinds(5_000), &[], rate, 3_000_000, 7);
+        let (_, outcome) = World::open(size, arrivals, [], 7).run(3_000_000);
+        let messages = outcome.messages.grants + outcome.messages.renewals;
+        messages as f64 / outcome.starts as f64
+    };
+    let (small, large) = (per_start(12, 53), per_start(35, 160));
+    assert!(large <= small * 1.2, "{large} messages a start instead of {small}");
+}
+
 /// Guards against jobs that are all admitted and then all late.
 #[test]
 fn a_flood_of_all_kinds_ends_in_refusals_and_not_in_late_answers() {
