Forget how many workers an entry once knew

Cause: since sidecars leave the entries that they do not need, an entry named in the settings knows all 160 workers for a second after a start and 27 later. Admission accepts every job for 0.5 s after each change of the workers while fewer than half of the most that were known take work, so on these entries it was off whenever one worker came or went.

Change: once the workers have not changed for 5 s, their number counts as the usual one. The test failed before: none of 200 jobs was refused at two workers with room for four tasks.

--- a/crates/dispatch/src/plan.rs
+++ b/crates/dispatch/src/plan.rs
@@ -50,6 +50,10 @@
 /// of a sidecar.
 const SETTLE_US: u64 = 500_000;
 
+/// Time without a change of the workers after which their number counts as the usual one, in
+/// microseconds: longer than most outages.
+const STABLE_US: u64 = 5_000_000;
+
 /// Time without an event after which the VM is taken to have been suspended, in microseconds: this
 /// entry's lease plus the longest time between two events.
 const SUSPENDED_US: u64 = sidecar::ENTRY_LEASE_US + MAX_SLEEP_US;
@@ -98,8 +102,11 @@
     backlog_means: HashMap<(Arc<str>, u64), (f64, u64)>,
     /// Time from which the connected workers are taken to be all workers.
     settled_us: u64,
-    /// Highest number of workers that have accepted work at the same time since the start.
+    /// Highest number of workers that have accepted work at the same time since the start, or since
+    /// the workers had not changed for `STABLE_US`.
     max_accepting: usize,
+    /// Time of the last change of the workers.
+    workers_changed_us: u64,
     /// Time until which this entry counts as having jobs that wait for capacity.
     waiting_until_us: u64,
     last_event_us: u64,
@@ -123,6 +130,7 @@
             backlog_means: HashMap::new(),
             settled_us: 0,
             max_accepting: 0,
+            workers_changed_us: 0,
             waiting_until_us: 0,
             last_event_us: 0,
             random: fastrand::Rng::with_seed(seed),
@@ -192,6 +200,9 @@
             self.lose_runs(worker, |_| true, now_us);
             self.workers.remove(worker);
         }
+        if self.workers_changed_us + STABLE_US <= now_us {
+            self.max_accepting = self.accepting();
+        }
         let due: Vec<Job> = self
             .jobs
             .iter()
--- a/crates/dispatch/src/plan/worker.rs
+++ b/crates/dispatch/src/plan/worker.rs
@@ -274,6 +274,7 @@
     /// than half of the workers are known, others are expected to follow, and admission waits for
     /// them. A single worker that leaves or returns changes the capacity too little for that.
     fn extend_settling(&mut self, changed_us: u64) {
+        self.workers_changed_us = self.workers_changed_us.max(changed_us);
         let few_known = self.accepting() * 2 < self.max_accepting;
         if few_known || changed_us < self.settled_us {
             self.settled_us = self.settled_us.max(changed_us + SETTLE_US);
--- a/crates/dispatch/tests/plan.rs
+++ b/crates/dispatch/tests/plan.rs
@@ -204,6 +204,34 @@
     assert!(!planner.is_waiting(NOW_US + 1_000_000));
 }
 
+/// Guards against an entry that was once connected to most workers, as one named in the settings is
+/// after a start, and then admits all jobs whenever one of its fewer workers comes or goes.
+#[test]
+fn admission_relies_on_fewer_workers_once_they_have_not_changed_for_some_time() {
+    let (mut planner, workers) = planner(12);
+    for worker in &workers[3..] {
+        planner.disconnected(*worker, NOW_US);
+    }
+    let mut now_us = NOW_US;
+    while now_us < NOW_US + 8_000_000 {
+        now_us += 100_000;
+        planner.wake(now_us);
+        planner.tick(now_us);
+    }
+    planner.disconnected(workers[0], now_us);
+    for number in 0..200 {
+        planner.submit(submission(&format!("{number}"), 1), now_us);
+    }
+    let mut answers = Vec::new();
+    for _ in 0..4 {
+        now_us += 20_000;
+        planner.tick(now_us);
+        answers.extend(take_answers(&mut planner));
+    }
+    let refused = answers.iter().filter(|answer| matches!(answer, Answer::NotRun { .. }));
+    assert!(refused.count() > 100, "{answers:?}");
+}
+
 /// Guards against tasks that never end because their sidecar reconnects without their runs.
 #[test]
 fn a_run_that_a_reconnected_sidecar_does_not_list_is_replaced() {
