--- a/crates/proof/src/harness.rs
+++ b/crates/proof/src/harness.rs
@@ -4,6 +4,7 @@
 pub mod chaos;
 pub mod cluster;
 pub mod http;
+pub mod noise;
 pub mod port;
 pub mod process;
 pub mod record;
