Repeat a read that a suspension interrupted in tests of the proxy

Change: an interrupted read shows neither silence nor data, so it is repeated; a datagram or byte that arrives still fails the test, and so does any other error.

--- a/crates/standin/tests/proxy.rs
+++ b/crates/standin/tests/proxy.rs
@@ -70,8 +70,15 @@
     buffer[..length].to_vec()
 }
 
-fn assert_silent(result: io::Result<usize>) {
-    let kind = result.unwrap_err().kind();
+/// Asserts that nothing arrives until a read times out. A read that is interrupted because the process
+/// was suspended shows neither, and is repeated.
+fn assert_silent(mut read: impl FnMut() -> io::Result<usize>) {
+    let kind = loop {
+        match read().unwrap_err().kind() {
+            ErrorKind::Interrupted => {}
+            kind => break kind,
+        }
+    };
     assert!(matches!(kind, ErrorKind::WouldBlock | ErrorKind::TimedOut), "{kind}");
 }
 
@@ -132,7 +139,7 @@
     proxy.set_faults(Faults::default());
     proxy.cut();
     frozen.set_read_timeout(Some(SILENCE)).unwrap();
-    assert_silent(frozen.read(&mut [0; 8]));
+    assert_silent(|| frozen.read(&mut [0; 8]));
 }
 
 /// Guards against one-way loss that affects both directions, and against stream bytes that are lost
@@ -150,9 +157,9 @@
     stream.write_all(b"held").unwrap();
     client.send(b"lost").unwrap();
     client.set_read_timeout(Some(SILENCE)).unwrap();
-    assert_silent(client.recv(&mut [0; 8]));
+    assert_silent(|| client.recv(&mut [0; 8]));
     stream.set_read_timeout(Some(SILENCE)).unwrap();
-    assert_silent(stream.read(&mut [0; 8]));
+    assert_silent(|| stream.read(&mut [0; 8]));
     assert!(proxy.counts().received > before);
     proxy.set_faults(Faults::default());
     stream.set_read_timeout(Some(TIMEOUT)).unwrap();
@@ -272,7 +279,7 @@
     let client = datagram_client(&proxy);
     client.send(b"lost").unwrap();
     client.set_read_timeout(Some(SILENCE)).unwrap();
-    assert_silent(client.recv(&mut [0; 8]));
+    assert_silent(|| client.recv(&mut [0; 8]));
     let mut state = ureq::get(format!("{url}/state")).call().unwrap();
     let text = state.body_mut().read_to_string().unwrap();
     let state: serde_json::Value = serde_json::from_str(&text).unwrap();
