Show a task that runs twice without late calls, and an executor over its capacity

Cause: TWICE needed late calls beside the loss of power before; a first heartbeat that comes between a repeated start and a poll does the same without them. LIMIT: starts are repeated to an executor that returns under its id with fewer cores.

--- a/review/tools/src/cancel.rs
+++ b/review/tools/src/cancel.rs
@@ -27,7 +27,6 @@
         relays: false,
         up_ms: 1_000,
         register_ms: 20,
-        late_percent: 0,
         app_relays: false,
         cpu: CPU,
     };
--- a/review/tools/src/executor.rs
+++ b/review/tools/src/executor.rs
@@ -36,8 +36,6 @@
     pub up_ms: u64,
     /// Time from listening to the first heartbeat, in milliseconds.
     pub register_ms: u64,
-    /// Share of the orders that get no answer and are carried out 2 to 12 s later, in percent.
-    pub late_percent: u64,
 }
 
 struct Run {
@@ -84,7 +82,7 @@
         options,
     });
     let server = Arc::clone(&executor);
-    let handler = Arc::new(move |request: &http::Message| server.serve(request));
+    let handler = Arc::new(move |request: &http::Message| Some(server.answer(request)));
     if !http::serve(executor.options.address, handler) {
         return false;
     }
@@ -172,16 +170,6 @@
         self.reply(409, &format!(",\"reason\":\"{reason}\""))
     }
 
-    /// Handles a call, or leaves it without an answer and carries it out late.
-    fn serve(&self, request: &http::Message) -> Option<(u16, String)> {
-        let is_late = crate::chance::below(100) < self.options.late_percent;
-        if is_late {
-            thread::sleep(Duration::from_millis(2_000 + crate::chance::below(10_000)));
-        }
-        let answer = self.answer(request);
-        (!is_late).then_some(answer)
-    }
-
     fn answer(&self, request: &http::Message) -> (u16, String) {
         let expected = request.header("x-kingcuplanding-expect-instance");
         if expected.is_some_and(|expected| expected != self.options.id) {
--- a/review/tools/src/limit.rs
+++ b/review/tools/src/limit.rs
@@ -12,11 +12,14 @@
 /// Cores of the executors at first, in thousandths: those of the site's larger kind.
 const LARGE_CPU: u64 = 48_000;
 
+/// Returns shortly before a start order is repeated, with the first heartbeat later.
+const ROUNDS: [(u64, u64); 5] = [(618, 300), (614, 300), (622, 300), (610, 300), (616, 300)];
+
 pub fn play(record: &Record, trouble: bool) -> Outcome {
     let shape = Shape {
         cpu: [LARGE_CPU, CPU],
         up_ms: 1_000,
-        late_percent: 0,
+        rounds: &ROUNDS,
         tasks: 110,
         work_ms: 900,
         timeout_ms: 1_500,
--- a/review/tools/src/main.rs
+++ b/review/tools/src/main.rs
@@ -4,7 +4,6 @@
 //! folder. The status is 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 //! With `TROUBLE=0` in the environment the case is played without its disruption.
 
-mod chance;
 mod client;
 mod executor;
 mod http;
@@ -43,7 +42,7 @@
 }
 
 fn parse_executor(words: &[&str]) -> Option<executor::Options> {
-    let [id, service, zone, address, sidecar, cpu, mem_mb, up_ms, register_ms, late] = words else {
+    let [id, service, zone, address, sidecar, cpu, mem_mb, up_ms, register_ms] = words else {
         return None;
     };
     Some(executor::Options {
@@ -56,7 +55,6 @@
         mem_mb: mem_mb.parse().ok()?,
         up_ms: up_ms.parse().ok()?,
         register_ms: register_ms.parse().ok()?,
-        late_percent: late.parse().ok()?,
     })
 }
 
--- a/review/tools/src/outage.rs
+++ b/review/tools/src/outage.rs
@@ -1,5 +1,8 @@
 //! Short losses of power: an executor goes without power while a job arrives and returns under its
 //! id. Used by two cases.
+//!
+//! Start orders without an answer are repeated 620 ms after the first and every 160 ms then, and polls
+//! every 110 ms, so what reaches the new life first depends on the moment of its return.
 
 use std::{
     path::Path,
@@ -15,26 +18,24 @@
 
 const ENTRIES: usize = 2;
 const EXECUTORS: usize = 8;
-/// Number of losses of power, each of another executor.
-const ROUNDS: usize = 3;
 /// Time from the loss of power to the job.
 const JOB_AFTER: Duration = Duration::from_millis(400);
-/// Time from the job to the return: shortly before the sidecar's start orders are repeated, which
-/// happens every 160 ms by then.
-const RETURN_AFTER: Duration = Duration::from_millis(614);
-/// Time from the start of the new life's process to the return of its network, and from that to its
-/// first heartbeat.
+/// Time from the start of the new life's process to the return of its network.
 const BOOT: Duration = Duration::from_millis(150);
-const REGISTER: Duration = Duration::from_millis(300);
 /// Time between two rounds.
-const PAUSE: Duration = Duration::from_secs(6);
+const PAUSE: Duration = Duration::from_secs(4);
+/// Time by which each of these is longer than the one before, so that the polls come at another
+/// moment of each round.
+const PAUSE_STEP: Duration = Duration::from_millis(43);
 
 /// What a case sets.
 pub struct Shape {
     /// Cores of an executor before and after its return, in thousandths.
     pub cpu: [u64; 2],
     pub up_ms: u64,
-    pub late_percent: u64,
+    /// For each loss of power, the time from the job to the return of the executor's network, and
+    /// from that to its first heartbeat, in milliseconds.
+    pub rounds: &'static [(u64, u64)],
     pub tasks: u32,
     pub work_ms: u64,
     pub timeout_ms: u64,
@@ -49,12 +50,12 @@
         app_relays: true,
         cpu: shape.cpu[0],
         up_ms: shape.up_ms,
-        register_ms: (BOOT + REGISTER).as_millis() as u64,
-        late_percent: if trouble { shape.late_percent } else { 0 },
+        register_ms: 50,
     };
     let mut world = World::open(plan, record, Path::new("."))?;
-    for round in 0..ROUNDS {
-        thread::sleep(PAUSE);
+    for (round, (return_ms, register_ms)) in shape.rounds.iter().enumerate() {
+        let return_after = Duration::from_millis(*return_ms);
+        thread::sleep(PAUSE + PAUSE_STEP * round as u32);
         if trouble {
             record.line(&format!("executor-{round} loses power"));
             world.app_relays[round].set_dark(true);
@@ -64,11 +65,12 @@
         let submitted = Instant::now();
         let caller = submit(&world, shape, round);
         let wait_until = |at: Duration| thread::sleep(at.saturating_sub(submitted.elapsed()));
-        wait_until(RETURN_AFTER - BOOT);
+        wait_until(return_after - BOOT);
         if trouble {
+            world.set_register_ms(BOOT.as_millis() as u64 + register_ms);
             world.executors[round] = world.start_executor(round, 0, "i-first", shape.cpu[1])?;
         }
-        wait_until(RETURN_AFTER);
+        wait_until(return_after);
         if trouble {
             record.line(&format!("executor-{round} is back"));
             world.app_relays[round].set_dark(false);
--- a/review/tools/src/recover.rs
+++ b/review/tools/src/recover.rs
@@ -43,7 +43,6 @@
         relays: false,
         up_ms: UP_MS,
         register_ms: 150,
-        late_percent: 0,
         app_relays: false,
         cpu: CPU,
     };
--- a/review/tools/src/silent.rs
+++ b/review/tools/src/silent.rs
@@ -37,7 +37,6 @@
         relays: true,
         up_ms: 1_000,
         register_ms: 20,
-        late_percent: 0,
         app_relays: false,
         cpu: CPU,
     };
--- a/review/tools/src/twice.rs
+++ b/review/tools/src/twice.rs
@@ -1,5 +1,4 @@
-//! A task runs on two executors after one of them lost power and returned, while some calls are
-//! carried out late.
+//! A task runs on two executors after one of them lost power and returned.
 
 use std::collections::HashMap;
 
@@ -10,16 +9,17 @@
     Outcome,
 };
 
-/// How long the executors have been up when the sidecars start: three days.
-const UP_MS: u64 = 3 * 24 * 60 * 60 * 1_000;
-/// Share of the calls that get no answer and are carried out late, in percent.
-const LATE_PERCENT: u64 = 5;
+/// How long the executors have been up when the sidecars start: a minute.
+const UP_MS: u64 = 60_000;
+
+/// Returns shortly before a start order is repeated, with the first heartbeat shortly after.
+const ROUNDS: [(u64, u64); 5] = [(619, 12), (614, 20), (624, 20), (617, 14), (610, 35)];
 
 pub fn play(record: &Record, trouble: bool) -> Outcome {
     let shape = Shape {
         cpu: [CPU, CPU],
         up_ms: UP_MS,
-        late_percent: LATE_PERCENT,
+        rounds: &ROUNDS,
         tasks: 24,
         work_ms: 1_200,
         timeout_ms: 4_000,
--- a/review/tools/src/world.rs
+++ b/review/tools/src/world.rs
@@ -46,8 +46,6 @@
     pub up_ms: u64,
     /// Time from listening to the first heartbeat of an executor, in milliseconds.
     pub register_ms: u64,
-    /// Share of the orders that executors carry out late, in percent.
-    pub late_percent: u64,
     /// Whether each sidecar reaches its executor through a relay.
     pub app_relays: bool,
 }
@@ -208,6 +206,11 @@
             .map_err(|error| format!("{program}: {error}"))
     }
 
+    /// Sets the time from listening to the first heartbeat for executors that are started later.
+    pub fn set_register_ms(&mut self, register_ms: u64) {
+        self.plan.register_ms = register_ms;
+    }
+
     pub fn start_entry(&self, index: usize) -> Result<Process, String> {
         self.start_daemon("kingcup-platform-entry", &format!("edge-{index}"))
     }
@@ -230,7 +233,7 @@
         let control = address(self.net, SIDECARS, index, CONTROL_PORT).to_string();
         let (id, up_ms) = (format!("{life}-{index}"), up_ms.to_string());
         let register_ms = self.plan.register_ms.to_string();
-        let (cpu, late) = (cpu.to_string(), self.plan.late_percent.to_string());
+        let cpu = cpu.to_string();
         let arguments = [
             "executor",
             &id,
@@ -242,7 +245,6 @@
             "131072",
             &up_ms,
             &register_ms,
-            &late,
         ];
         Process::standin(&own, &arguments, &format!("executor-{index}"), &self.record)
             .map_err(|error| error.to_string())
