Keep the fencing token when the upstream restarts

Cause: a sidecar forgot its token when it learned of a new incarnation, and took the clock of that incarnation, which starts anew. A call under the old token had reached the incarnation before, so it rejected all stops and polls of its sidecar for as long as the earlier one had run. The sidecar took it for silent and reported its runs as lost at the end of a lease of 0.76 s; they ran for 1 s.

Evidence: in the sidecar's log the stops after the return fail with Fence, then each poll, 60,000 times in 20 s; in the record of the upstreams the runs end as lapsed 1.0 s after their start. Ruled out: the entry's own timeout (it repeats within 2 ms of the sidecar's report).

Change: the token never falls.

Both new tests fail before.

--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -74,6 +74,8 @@
 /// Largest step of the sequence number between two reports of one incarnation that is taken for
 /// genuine: more than a day of reports, one a second.
 const MAX_SEQUENCE_JUMP: u64 = 100_000;
+/// Largest fencing token: 2 to the power of 53, up to which JSON numbers are exact everywhere.
+const MAX_FENCE: u64 = 1 << 53;
 /// Time by which the clock in a report may be ahead of the estimate of that clock, in milliseconds.
 /// The estimate lags by the age of the last answer, a few seconds at most.
 const MAX_CLOCK_LEAD_MS: u64 = 60_000;
@@ -124,6 +126,8 @@
     clock: Clock,
     /// Fencing token for the next order; 0 until the upstream's clock is known.
     fence: u64,
+    /// Last step by which the fencing token was raised; 0 once the token is accepted.
+    fence_step: u64,
     /// Highest number of an end that the upstream has listed.
     last_end: u64,
     poll_pending: bool,
@@ -163,6 +167,7 @@
             phase: Phase::Unknown,
             clock: Clock::default(),
             fence: 0,
+            fence_step: 0,
             last_end: 0,
             poll_pending: false,
             poll_number: 0,
@@ -291,7 +296,8 @@
         self.effects.push(effect);
     }
 
-    /// Discards what an earlier incarnation of the upstream reported.
+    /// Discards what an earlier incarnation of the upstream reported, but not the fencing token: the
+    /// new incarnation may have received it with a late call.
     ///
     /// Runs are not ended here, because a start may have reached the new incarnation before its
     /// first report; its first listing shows which runs were lost. Runs whose start the earlier
@@ -300,7 +306,6 @@
         self.incarnation = incarnation;
         self.profile = None;
         self.clock = Clock::default();
-        self.fence = 0;
         self.last_end = 0;
         self.unknown_runs.clear();
         let unanswered =
--- a/crates/dispatch/src/worker/action.rs
+++ b/crates/dispatch/src/worker/action.rs
@@ -115,6 +115,14 @@
     },
 }
 
+impl Order {
+    /// Returns the fencing token.
+    pub fn fence(&self) -> u64 {
+        let (Self::Start { fence, .. } | Self::Stop { fence, .. }) = self;
+        *fence
+    }
+}
+
 /// Reply of an upstream to an order or a poll.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reply {
--- a/crates/dispatch/src/worker/order.rs
+++ b/crates/dispatch/src/worker/order.rs
@@ -5,8 +5,8 @@
     action::{Effect, Order, Reason, Reply},
     entry::Entry,
     run::{self, Outcome, Run, Start, State},
-    Phase, Supervisor, ENTRY_LEASE_US, MAX_ORDER_TIMEOUT_US, MAX_START_TRIES, ORDER_TIMEOUT_US,
-    SLOW_CLOCK_PERMILLE, STOP_RETRY_US, STOP_US, UPSTREAM_LEASE_US,
+    Phase, Supervisor, ENTRY_LEASE_US, MAX_FENCE, MAX_ORDER_TIMEOUT_US, MAX_START_TRIES,
+    ORDER_TIMEOUT_US, SLOW_CLOCK_PERMILLE, STOP_RETRY_US, STOP_US, UPSTREAM_LEASE_US,
 };
 
 impl Supervisor {
@@ -72,7 +72,8 @@
         if let Some(clock_ms) = clock_ms {
             self.clock.record(clock_ms, now_us);
         }
-        if reply == Reply::Fence {
+        // Other orders under the same token may have been rejected before.
+        if reply == Reply::Fence && order.fence() == self.fence {
             self.raise_fence(clock_ms, now_us);
         }
         match order {
@@ -123,12 +124,16 @@
     }
 
     /// Raises the fencing token above one that another process has used, and polls again before
-    /// anything starts.
-    fn raise_fence(&mut self, clock_ms: Option<u64>, now_us: u64) {
-        // Without a clock time in the reply, the token is raised by one until it is accepted.
-        self.fence = clock_ms.map_or(self.fence + 1, |clock_ms| clock_ms.max(self.fence + 1));
+    /// anything starts. The clock may be behind that token, if the upstream received it in a call
+    /// that was meant for an earlier incarnation; the steps double so that few calls suffice.
+    pub(super) fn raise_fence(&mut self, clock_ms: Option<u64>, now_us: u64) {
+        self.fence_step = (self.fence_step * 2).clamp(1, MAX_FENCE);
         self.phase = Phase::Unknown;
-        self.poll_due_us = now_us;
+        if self.fence < MAX_FENCE {
+            let raised = self.fence.saturating_add(self.fence_step).min(MAX_FENCE);
+            self.fence = raised.max(clock_ms.unwrap_or(0));
+            self.poll_due_us = now_us;
+        }
     }
 
     /// Starts waiting runs in order of urgency until one does not fit. A run whose task already has
--- a/crates/dispatch/src/worker/poll.rs
+++ b/crates/dispatch/src/worker/poll.rs
@@ -77,8 +77,10 @@
         }
         self.incarnation_reported_us = None;
         self.clock.record(listing.clock_ms, now_us);
-        if self.fence == 0 {
-            self.fence = listing.clock_ms.max(1);
+        // The token may equal one of an earlier sidecar, whose late calls a higher one rejects.
+        if self.fence == 0 || self.fence_step > 0 {
+            self.fence = listing.clock_ms.max(self.fence + 1);
+            self.fence_step = 0;
             self.update(now_us);
             return;
         }
@@ -122,13 +124,14 @@
         // A poll that timed out is repeated at once. One that failed immediately is not, since that
         // would call the upstream in a busy loop.
         self.poll_due_us = now_us.max(self.poll_sent_us + POLL_RETRY_US);
-        match (reply, clock_ms) {
-            (Reply::Fence, Some(clock_ms)) => {
-                self.clock.record(clock_ms, now_us);
-                self.fence = clock_ms.max(self.fence + 1);
-                self.poll_due_us = now_us;
+        match reply {
+            Reply::Fence => {
+                if let Some(clock_ms) = clock_ms {
+                    self.clock.record(clock_ms, now_us);
+                }
+                self.raise_fence(clock_ms, now_us);
             }
-            (Reply::Down, _) => {
+            Reply::Down => {
                 self.missed_polls = u32::MAX / 2;
                 self.mark_all_lost(now_us);
                 self.phase = Phase::Unknown;
--- a/crates/dispatch/tests/worker.rs
+++ b/crates/dispatch/tests/worker.rs
@@ -50,6 +50,15 @@
     (supervisor, entry)
 }
 
+/// Returns the number of the last poll among effects.
+fn pending_poll(effects: &[Effect]) -> u64 {
+    let number = effects.iter().rev().find_map(|effect| match effect {
+        Effect::Poll { number, .. } => Some(*number),
+        _ => None,
+    });
+    number.expect("a poll is pending")
+}
+
 /// Answers the pending poll with this listing and returns the effects that follow, except the next
 /// poll. Effects queued before are dropped.
 fn answer_poll(
@@ -59,12 +68,8 @@
     now_us: u64,
 ) -> Vec<Effect> {
     let mut effects = supervisor.drain();
-    let number = effects.iter().rev().find_map(|effect| match effect {
-        Effect::Poll { number, .. } => Some(*number),
-        _ => None,
-    });
     let listing = Listing { incarnation: 1, clock_ms: CLOCK_MS + now_us / 1000, running, ended };
-    supervisor.poll_answered(number.expect("a poll is pending"), listing, now_us);
+    supervisor.poll_answered(pending_poll(&effects), listing, now_us);
     let more = supervisor.drain();
     // The next poll stays queued for the next call.
     effects.clear();
@@ -593,3 +598,47 @@
     assert!(effects.iter().any(|effect| matches!(effect, Effect::Refused { run: 3, .. })));
     assert!(effects.iter().any(|effect| matches!(effect, Effect::Grant { .. })));
 }
+
+/// Fencing token that an upstream has received: the clock of an incarnation that ran for three days.
+const SEEN_FENCE: u64 = 3 * 24 * 3_600 * 1_000;
+
+/// Guards against an upstream that rejects all calls for good: its new incarnation has received the
+/// token of the earlier one, whose clock had run for days, and its sidecar has restarted.
+#[test]
+fn a_new_sidecar_exceeds_the_token_of_an_earlier_incarnation_within_few_polls() {
+    let now_us = 1_000_000;
+    let mut supervisor = Supervisor::open();
+    supervisor.report(profile(1, true), 1, 100, now_us);
+    let mut fences = Vec::new();
+    while !supervisor.is_accepting() && fences.len() < 100 {
+        let effects = supervisor.drain();
+        let number = pending_poll(&effects);
+        let fence = effects.iter().find_map(|effect| match effect {
+            Effect::Poll { fence, .. } => Some(*fence),
+            _ => None,
+        });
+        let fence = fence.unwrap_or_default();
+        fences.push(fence);
+        if fence < SEEN_FENCE {
+            supervisor.poll_failed(number, Reply::Fence, Some(100), now_us);
+        } else {
+            let listing = Listing { incarnation: 1, clock_ms: 100, ..Listing::default() };
+            supervisor.poll_answered(number, listing, now_us);
+        }
+    }
+    assert!(supervisor.is_accepting(), "after {} polls", fences.len());
+    assert!(fences.last() > Some(&SEEN_FENCE), "calls of the earlier sidecar would be accepted");
+}
+
+/// Guards against stops and polls that the next incarnation of an upstream rejects, because a call
+/// that was meant for the earlier one has reached it with a higher token.
+#[test]
+fn the_token_does_not_fall_with_the_clock_of_the_next_incarnation() {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open_supervisor(now_us);
+    let (_, order) = start_accepted(&mut supervisor, entry, 1, now_us);
+    supervisor.report(profile(2, true), 1, 100, now_us);
+    supervisor.stop(entry, 1, now_us);
+    let (_, stop) = drain_orders(&mut supervisor).remove(0);
+    assert!(stop.fence() >= order.fence());
+}
