Start tasks only in an incarnation of the upstream that is known

Cause: orders do not name the incarnation. A sidecar repeated an unanswered start blindly, and sent new ones to a silent upstream, so the next incarnation carried them out by the capacity of the earlier one, under a deadline on its clock, and at times seconds later. The sidecar reckoned with a lease of 0.7 s, but a deadline on an earlier clock gives the longest lease, 1 s. Polls without an answer extended that account for ever, so that runs on a dark upstream were never lost.

Evidence: losses of power in the world in virtual time. Ruled out: late orders, which these plays don't have.

Change: after a call without an answer, or an answer with a clock behind that of the known incarnation, nothing starts until a poll, sent at once, shows the incarnation; leases are renewed only in a known one; the account of a lease in doubt uses the longest; starts without an answer are stopped in each incarnation until a stop is answered, and their runs are lost only then or 15 s after the lease. A silent upstream reports no free capacity. Restarts are logged.

an_unanswered_start_is_repeated_as_the_same_attempt and an_unanswered_start_is_stopped_in_the_next_ incarnation expected the repetition without an answer in between, which is the fault; they now check that nothing is sent before it and that the same attempt is sent after it. runs_on_an_unresponsive_upstream_are_not_lost_before_the_lease_expires now also requires the loss.

--- a/crates/bench/src/runs/upstream.rs
+++ b/crates/bench/src/runs/upstream.rs
@@ -7,11 +7,20 @@
 /// A task at an upstream: its name and which start of it.
 pub type Name = (Arc<str>, u32);
 
-/// One upstream VM.
+/// Longest lease that an upstream grants, in milliseconds.
+const MAX_LEASE_MS: u64 = 1_000;
+
+/// One incarnation of an upstream VM.
 #[derive(Debug, Default)]
 pub struct Upstream {
-    /// Changes when it starts again.
-    pub life: u64,
+    /// Number of the incarnation; grows with each restart.
+    pub incarnation: u64,
+    /// Time at which the incarnation started, in microseconds.
+    pub started_us: u64,
+    /// Time on its clock when it started, in milliseconds.
+    clock_start_ms: u64,
+    /// Cores, in thousandths.
+    pub cores: u32,
     /// What runs: its start and its run time, in microseconds.
     pub running: HashMap<Name, (u64, u64)>,
     ended: Vec<(u64, Name, Outcome)>,
@@ -28,19 +37,35 @@
 }
 
 impl Upstream {
-    /// Starts with nothing.
-    pub fn open(life: u64) -> Self {
-        Self { life, slowness: 1.0, ..Self::default() }
+    /// Opens the first incarnation, which has been up for a minute at the beginning.
+    pub fn open(cores: u32) -> Self {
+        Self { incarnation: 1, clock_start_ms: 60_000, cores, slowness: 1.0, ..Self::default() }
+    }
+
+    /// Opens the next incarnation, which starts at a time and knows nothing of this one.
+    pub fn next(&self, started_us: u64, cores: u32) -> Self {
+        let incarnation = self.incarnation + 1;
+        Self { incarnation, started_us, cores, slowness: 1.0, ..Self::default() }
+    }
+
+    /// Returns the time on its clock, in milliseconds.
+    pub fn clock_ms(&self, now_us: u64) -> u64 {
+        self.clock_start_ms + now_us.saturating_sub(self.started_us) / 1000
+    }
+
+    /// Returns the time at which the lease ends, in microseconds.
+    pub fn lease_end_us(&self) -> u64 {
+        self.started_us + self.lease_ms.saturating_sub(self.clock_start_ms) * 1000
     }
 
-    /// Time on its clock, in milliseconds.
-    pub fn clock_ms(now_us: u64) -> u64 {
-        now_us / 1000 + 5_000
+    /// Extends the lease up to a time on its clock, in milliseconds, by at most `MAX_LEASE_MS`.
+    fn extend_lease(&mut self, deadline_ms: u64, clock_ms: u64) {
+        self.lease_ms = self.lease_ms.max(deadline_ms.min(clock_ms + MAX_LEASE_MS));
     }
 
     /// Carries out an order; true if it has started the task.
     pub fn order(&mut self, order: &Order, now_us: u64) -> (Reply, bool) {
-        let clock_ms = Self::clock_ms(now_us);
+        let clock_ms = self.clock_ms(now_us);
         match order {
             Order::Start { task, attempt, deadline_ms, fence, .. } => {
                 if *fence < self.fence {
@@ -50,7 +75,7 @@
                 if *deadline_ms <= clock_ms {
                     return (Reply::Late, false);
                 }
-                self.lease_ms = self.lease_ms.max(*deadline_ms);
+                self.extend_lease(*deadline_ms, clock_ms);
                 let name = (task.clone(), *attempt);
                 if self.running.contains_key(&name) {
                     return (Reply::Done, false);
@@ -88,7 +113,7 @@
 
     /// Ends everything if the lease has run out.
     pub fn expire(&mut self, now_us: u64) {
-        if Self::clock_ms(now_us) >= self.lease_ms {
+        if self.clock_ms(now_us) >= self.lease_ms {
             let names: Vec<Name> = self.running.keys().cloned().collect();
             for name in names {
                 self.finish(&name, Outcome::Lost);
@@ -97,12 +122,18 @@
     }
 
     /// Renews the lease and forgets ends that are known; false if the fencing token is too low.
-    pub fn hold(&mut self, deadline_ms: Option<u64>, fence: u64, last_end: u64) -> bool {
+    pub fn hold(
+        &mut self,
+        deadline_ms: Option<u64>,
+        fence: u64,
+        last_end: u64,
+        now_us: u64,
+    ) -> bool {
         if fence < self.fence {
             return false;
         }
         self.fence = fence;
-        self.lease_ms = self.lease_ms.max(deadline_ms.unwrap_or(0));
+        self.extend_lease(deadline_ms.unwrap_or(0), self.clock_ms(now_us));
         self.ended.retain(|(number, _, _)| *number > last_end);
         true
     }
@@ -123,8 +154,8 @@
             .iter()
             .map(|(number, (task, attempt), how)| (*number, task.clone(), *attempt, *how));
         Listing {
-            incarnation: self.life,
-            clock_ms: Self::clock_ms(now_us),
+            incarnation: self.incarnation,
+            clock_ms: self.clock_ms(now_us),
             running: running.collect(),
             ended: ended.collect(),
         }
--- a/crates/bench/src/runs/world.rs
+++ b/crates/bench/src/runs/world.rs
@@ -102,6 +102,17 @@
     Resubmit(usize),
     /// Messages between an entry and a sidecar wait for this time, in microseconds, both ways.
     Cut(usize, usize, u64),
+    /// An upstream loses power, and returns under its name as another incarnation.
+    Outage {
+        /// Number of the upstream's sidecar.
+        sidecar: usize,
+        /// Time without power, in microseconds.
+        for_us: u64,
+        /// Time from the return to the first report, in microseconds.
+        report_us: u64,
+        /// Cores after the return, in thousandths.
+        cores: u32,
+    },
 }
 
 /// What became of the jobs.
@@ -212,24 +223,16 @@
                 node.workers[sidecar] = worker;
                 entries[entry] = Some(supervisor.connected(&format!("entry-{entry}"), 1, 0).0);
             }
-            let profile = Profile {
-                incarnation: 1,
-                name: format!("upstream-{sidecar}").into(),
-                service: "service".into(),
-                cores: self.size.cores,
-                memory_mb: 65_536,
-                ready: true,
-                ..Profile::default()
-            };
-            supervisor.report(profile, 1, Upstream::clock_ms(0), 0);
             self.sidecars.push(SidecarNode {
                 supervisor,
                 entries,
-                upstream: Upstream::open(1),
+                upstream: Upstream::open(self.size.cores),
+                reports: 0,
                 waiting: None,
                 look: 0,
                 frozen_until_us: 0,
             });
+            self.report(sidecar);
             self.push(1, Event::Tick(Process::Sidecar(sidecar)));
         }
     }
@@ -261,6 +264,7 @@
             | Event::Entry(_, entry, _)
             | Event::Tick(Process::Entry(entry)) => self.entries[*entry].frozen_until_us,
             Event::Sidecar(_, sidecar, _)
+            | Event::Report(sidecar, _)
             | Event::Reply(sidecar, ..)
             | Event::LookReply(sidecar, ..)
             | Event::Tick(Process::Sidecar(sidecar)) => self.sidecars[*sidecar].frozen_until_us,
@@ -312,13 +316,18 @@
             Event::LookReply(sidecar, number, look) => {
                 let supervisor = &mut self.sidecars[sidecar].supervisor;
                 match look {
-                    Some(look) => supervisor.poll_answered(number, look, now_us),
-                    None => supervisor.poll_failed(number, Reply::Unanswered, None, now_us),
+                    Ok(look) => supervisor.poll_answered(number, look, now_us),
+                    Err((reply, clock_ms)) => {
+                        supervisor.poll_failed(number, reply, clock_ms, now_us);
+                    }
                 }
                 self.settle_sidecar(sidecar);
             }
-            Event::TaskEnd(sidecar, name) => {
+            Event::TaskEnd(sidecar, incarnation, name) => {
                 let upstream = &mut self.sidecars[sidecar].upstream;
+                if upstream.incarnation != incarnation {
+                    return;
+                }
                 let how =
                     if upstream.failing { worker::Outcome::Failed } else { worker::Outcome::Done };
                 upstream.finish(&name, how);
@@ -328,6 +337,12 @@
                 self.sidecars[sidecar].upstream.expire(now_us);
                 self.wake_look(sidecar);
             }
+            Event::Report(sidecar, incarnation) => {
+                if self.sidecars[sidecar].upstream.incarnation == incarnation {
+                    self.report(sidecar);
+                    self.settle_sidecar(sidecar);
+                }
+            }
             Event::Tick(process) => self.tick(process),
             Event::Fault(fault) => self.fault(fault),
         }
@@ -387,9 +402,37 @@
             Fault::Cut(entry, sidecar, for_us) => {
                 self.cuts.insert((entry, sidecar), now_us + for_us);
             }
+            Fault::Outage { sidecar, for_us, report_us, cores } => {
+                let node = &mut self.sidecars[sidecar];
+                let back_us = now_us + for_us;
+                node.upstream = node.upstream.next(back_us, cores);
+                let incarnation = node.upstream.incarnation;
+                if let Some((number, until_us)) = node.waiting.take() {
+                    self.push_look_timeout(sidecar, number, until_us);
+                }
+                self.push(back_us + report_us, Event::Report(sidecar, incarnation));
+            }
         }
     }
 
+    /// Reports an upstream to its sidecar.
+    fn report(&mut self, sidecar: usize) {
+        let now_us = self.now_us;
+        let node = &mut self.sidecars[sidecar];
+        let profile = Profile {
+            incarnation: node.upstream.incarnation,
+            name: format!("upstream-{sidecar}").into(),
+            service: "service".into(),
+            cores: node.upstream.cores,
+            memory_mb: 65_536,
+            ready: true,
+            ..Profile::default()
+        };
+        node.reports += 1;
+        let clock_ms = node.upstream.clock_ms(now_us);
+        node.supervisor.report(profile, node.reports, clock_ms, now_us);
+    }
+
     /// Time at which a message that is sent now arrives.
     fn arrives_us(&self, entry: usize, sidecar: usize) -> u64 {
         let healed_us = self.cuts.get(&(entry, sidecar)).copied().unwrap_or(0);
--- a/crates/bench/src/runs/world/event.rs
+++ b/crates/bench/src/runs/world/event.rs
@@ -34,8 +34,11 @@
     Reply(usize, run::Key, Order, Reply, u64),
     Look(usize, u64, Option<u64>, u64, u64, u64),
     LookEnd(usize, u64),
-    LookReply(usize, u64, Option<worker::Listing>),
-    TaskEnd(usize, Name),
+    LookReply(usize, u64, Result<worker::Listing, (Reply, Option<u64>)>),
+    /// Sidecar, incarnation of its upstream, and the run that ends there.
+    TaskEnd(usize, u64, Name),
+    /// An incarnation of an upstream reports to its sidecar.
+    Report(usize, u64),
     Lease(usize),
     Tick(Process),
     Fault(Fault),
@@ -81,6 +84,8 @@
     pub(super) supervisor: Supervisor,
     pub(super) entries: Vec<Option<Entry>>,
     pub(super) upstream: Upstream,
+    /// Number of reports of the upstream.
+    pub(super) reports: u64,
     /// The look that waits at the upstream: its number and the time until which it waits.
     pub(super) waiting: Option<(u64, u64)>,
     pub(super) look: u64,
--- a/crates/bench/src/runs/world/sidecars.rs
+++ b/crates/bench/src/runs/world/sidecars.rs
@@ -8,7 +8,13 @@
     event::{Event, ToEntry, ToSidecar},
     World, CALL_US,
 };
-use crate::runs::upstream::{Name, Upstream};
+use crate::runs::upstream::Name;
+
+/// Time after which an order that was on its way to an upstream when this lost power counts as
+/// unanswered, in microseconds.
+const ORDER_TIMEOUT_US: u64 = 20_000;
+/// Time after which a look counts as unanswered, beyond its wait, in microseconds.
+const LOOK_TIMEOUT_US: u64 = 60_000;
 
 impl World {
     pub(super) fn sidecar_hears(&mut self, entry: usize, sidecar: usize, message: ToSidecar) {
@@ -44,6 +50,14 @@
     fn sidecar_effect(&mut self, sidecar: usize, effect: worker::Effect) {
         let now_us = self.now_us;
         match effect {
+            worker::Effect::Order { key, order, timeout_us } if self.is_dark(sidecar) => {
+                let reply = Event::Reply(sidecar, key, order, Reply::Unanswered, 0);
+                self.push(now_us + timeout_us, reply);
+            }
+            worker::Effect::Poll { number, wait_ms, .. } if self.is_dark(sidecar) => {
+                let until_us = now_us + u64::from(wait_ms) * 1000;
+                self.push_look_timeout(sidecar, number, until_us);
+            }
             worker::Effect::Order { key, order, timeout_us } => {
                 if self.rng.f64() < self.late {
                     let at_us = now_us + self.rng.u64(2_000_000..12_000_000);
@@ -71,6 +85,7 @@
             worker::Effect::Progress { entry, runs } => {
                 self.tell(sidecar, entry, ToEntry::Progress(runs));
             }
+            worker::Effect::Restarted { .. } => {}
             worker::Effect::Profile => {
                 let Some(profile) = self.sidecars[sidecar].supervisor.profile() else { return };
                 for entry in self.sidecars[sidecar].entries.clone().into_iter().flatten() {
@@ -90,16 +105,21 @@
 
     pub(super) fn order(&mut self, sidecar: usize, key: run::Key, order: Order, answered: bool) {
         let now_us = self.now_us;
+        if self.is_dark(sidecar) {
+            let reply = Event::Reply(sidecar, key, order, Reply::Unanswered, 0);
+            self.push(now_us + ORDER_TIMEOUT_US, reply);
+            return;
+        }
         let (reply, began) = self.sidecars[sidecar].upstream.order(&order, now_us);
-        if let (true, Order::Start { task, attempt, deadline_ms, .. }) = (began, &order) {
+        if let (true, Order::Start { task, attempt, .. }) = (began, &order) {
             self.began(sidecar, task, *attempt);
-            self.push(lease_end_us(*deadline_ms), Event::Lease(sidecar));
+            self.push(self.sidecars[sidecar].upstream.lease_end_us(), Event::Lease(sidecar));
         }
         if matches!(order, Order::Stop { .. }) {
             self.wake_look(sidecar);
         }
         if answered {
-            let clock_ms = Upstream::clock_ms(now_us);
+            let clock_ms = self.sidecars[sidecar].upstream.clock_ms(now_us);
             self.push(now_us + CALL_US, Event::Reply(sidecar, key, order, reply, clock_ms));
         }
     }
@@ -124,7 +144,7 @@
             self.arrivals[self.by_id[id]].submission.cores
         };
         let used: u32 = upstream.running.keys().map(cores).sum();
-        self.outcome.overfull += u64::from(used > self.size.cores);
+        self.outcome.overfull += u64::from(used > upstream.cores);
         let arrival = &self.arrivals[arrival];
         let ran_us = (arrival.works_us[index] as f64 * upstream.slowness) as u64;
         self.outcome.busy += f64::from(arrival.submission.cores) * ran_us as f64;
@@ -135,7 +155,8 @@
             upstream.running.insert(name, (now_us, u64::MAX));
         } else {
             upstream.running.insert(name.clone(), (now_us, ran_us));
-            self.push(now_us + ran_us, Event::TaskEnd(sidecar, name));
+            let incarnation = upstream.incarnation;
+            self.push(now_us + ran_us, Event::TaskEnd(sidecar, incarnation, name));
         }
     }
 
@@ -149,11 +170,18 @@
         wait_us: u64,
     ) {
         let now_us = self.now_us;
+        if self.is_dark(sidecar) {
+            return self.push_look_timeout(sidecar, number, now_us + wait_us);
+        }
         let node = &mut self.sidecars[sidecar];
         node.look = number;
-        node.upstream.hold(deadline_ms, fence, last_end);
-        if let Some(deadline_ms) = deadline_ms {
-            self.push(lease_end_us(deadline_ms), Event::Lease(sidecar));
+        if !node.upstream.hold(deadline_ms, fence, last_end, now_us) {
+            let reply = Err((Reply::Fence, Some(node.upstream.clock_ms(now_us))));
+            self.push(now_us + CALL_US, Event::LookReply(sidecar, number, reply));
+            return;
+        }
+        if deadline_ms.is_some() {
+            self.push(self.sidecars[sidecar].upstream.lease_end_us(), Event::Lease(sidecar));
         }
         let node = &mut self.sidecars[sidecar];
         node.waiting = Some((number, now_us + wait_us));
@@ -176,11 +204,17 @@
         let node = &mut self.sidecars[sidecar];
         let Some((number, _)) = node.waiting.take() else { return };
         let look = node.upstream.list(now_us);
-        self.push(now_us + CALL_US, Event::LookReply(sidecar, number, Some(look)));
+        self.push(now_us + CALL_US, Event::LookReply(sidecar, number, Ok(look)));
     }
-}
 
-/// Time at which a lease until a time on an upstream's clock has run out, in microseconds.
-fn lease_end_us(deadline_ms: u64) -> u64 {
-    (deadline_ms - Upstream::clock_ms(0)) * 1000
+    /// Returns whether an upstream is without power.
+    fn is_dark(&self, sidecar: usize) -> bool {
+        self.now_us < self.sidecars[sidecar].upstream.started_us
+    }
+
+    /// Fails a look that the upstream does not answer by the end of its wait.
+    pub(super) fn push_look_timeout(&mut self, sidecar: usize, number: u64, until_us: u64) {
+        let event = Event::LookReply(sidecar, number, Err((Reply::Unanswered, None)));
+        self.push(until_us + LOOK_TIMEOUT_US, event);
+    }
 }
--- a/crates/bench/tests/runs.rs
+++ b/crates/bench/tests/runs.rs
@@ -217,3 +217,40 @@
     let (_, outcome) = World::open(SIZE, arrivals, faults, 7).run(TIME_US + TAIL_US);
     assert_eq!((outcome.overlaps, outcome.overfull), (0, 0));
 }
+
+/// Plays losses of power of one upstream after another under jobs whose runs outlast an outage. Each upstream returns under its name with `cores`, and reports after `report_us`.
+fn play_outages(seed: u64, report_us: u64, cores: u32) -> Outcome {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut faults = Vec::new();
+    for (index, at_us) in (1_000_000..TIME_US).step_by(250_000).enumerate() {
+        let for_us = rng.u64(20_000..1_500_000);
+        let sidecar = index % SIZE.sidecars;
+        faults.push((at_us, Fault::Outage { sidecar, for_us, report_us, cores }));
+    }
+    let (_, outcome) = World::open(SIZE, long_jobs(), faults, seed).run(TIME_US + TAIL_US);
+    outcome
+}
+
+/// Guards against a task that starts elsewhere while it runs on an upstream that lost power: its next
+/// incarnation carries out a start order that was meant for the earlier one, and rejects the stop and
+/// the polls that follow.
+#[rstest]
+fn a_start_that_reaches_the_next_incarnation_overlaps_no_other_run_of_its_task(
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+    #[values(12_000, 30_000)] report_us: u64,
+) {
+    let outcome = play_outages(seed, report_us, SIZE.cores);
+    assert_eq!(outcome.overlaps, 0);
+    assert!(outcome.starts > 0);
+}
+
+/// Guards against starts by the capacity of an upstream's earlier incarnation that bring a smaller one
+/// over its cores.
+#[rstest]
+fn a_smaller_next_incarnation_is_not_brought_over_its_cores(
+    #[values(1, 2, 3, 4, 5, 6)] seed: u64,
+    #[values(12_000, 300_000)] report_us: u64,
+) {
+    let outcome = play_outages(seed, report_us, 8_000);
+    assert_eq!((outcome.overlaps, outcome.overfull), (0, 0));
+}
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -12,10 +12,7 @@
 mod poll;
 pub mod run;
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    sync::Arc,
-};
+use std::{collections::BTreeMap, sync::Arc};
 
 use slotmap::SlotMap;
 
@@ -24,7 +21,11 @@
 pub use poll::Listing;
 pub use run::{End, Outcome, Progress, Start};
 
-use self::{clock::Clock, entry::Peer, run::Run};
+use self::{
+    clock::Clock,
+    entry::Peer,
+    run::{Run, State},
+};
 
 /// Lease of an entry, in microseconds: its runs are stopped when this time has passed since the
 /// issue of the newest grant that the entry has returned. Four grant intervals, so that three lost
@@ -34,6 +35,10 @@
 /// `ENTRY_LEASE_US`, the drift of a clock that is 2% slow and the time to stop a run stays below
 /// the 1.3 s after which a caller resubmits a job.
 pub const UPSTREAM_LEASE_US: u64 = 700_000;
+/// Longest lease that an upstream grants, in microseconds, as specified by the platform. An upstream
+/// that restarted counts a deadline on the clock of its earlier incarnation as one far ahead, and
+/// grants this instead.
+pub const MAX_UPSTREAM_LEASE_US: u64 = 1_000_000;
 /// Largest rate by which an upstream's clock may run slow, in thousandths, as specified by the
 /// platform.
 pub const SLOW_CLOCK_PERMILLE: u64 = 20;
@@ -112,6 +117,18 @@
     Known,
 }
 
+/// A start order without an answer, of a run that has ended.
+#[derive(Debug)]
+struct UnansweredStart {
+    task: Arc<str>,
+    attempt: u32,
+    /// Time at which the run ended.
+    ended_us: u64,
+    /// Time at which a stop is to be sent; `None` if the present incarnation of the upstream rejects
+    /// the start, because the run ended in it or a stop was answered.
+    stop_due_us: Option<u64>,
+}
+
 /// Supervises the runs of one upstream VM.
 #[derive(Debug)]
 pub struct Supervisor {
@@ -124,6 +141,8 @@
     incarnation_reported_us: Option<u64>,
     phase: Phase,
     clock: Clock,
+    /// Whether the upstream may have restarted since its last answer.
+    in_doubt: bool,
     /// Fencing token for the next order; 0 until the upstream's clock is known.
     fence: u64,
     /// Last step by which the fencing token was raised; 0 once the token is accepted.
@@ -131,6 +150,10 @@
     /// Highest number of an end that the upstream has listed.
     last_end: u64,
     poll_pending: bool,
+    /// Time that the upstream may hold the last poll, in milliseconds.
+    poll_wait_ms: u32,
+    /// Whether the last poll renewed the lease at the upstream.
+    poll_renews: bool,
     poll_number: u64,
     poll_due_us: u64,
     poll_sent_us: u64,
@@ -141,8 +164,8 @@
     /// Runs that the upstream lists but this sidecar did not start, by task and attempt, and the
     /// time at which a stop was last sent for each.
     unknown_runs: BTreeMap<(Arc<str>, u32), u64>,
-    /// End time, task and attempt of ended runs with a start order that was never answered.
-    unanswered_starts: VecDeque<(u64, Arc<str>, u32)>,
+    /// Ended runs with a start order that was never answered.
+    unanswered_starts: Vec<UnansweredStart>,
     entries: SlotMap<Entry, Peer>,
     /// Whether starts were accepted according to the last profile sent to entries.
     announced_accepting: bool,
@@ -166,10 +189,13 @@
             incarnation_reported_us: None,
             phase: Phase::Unknown,
             clock: Clock::default(),
+            in_doubt: false,
             fence: 0,
             fence_step: 0,
             last_end: 0,
             poll_pending: false,
+            poll_wait_ms: 0,
+            poll_renews: false,
             poll_number: 0,
             poll_due_us: 0,
             poll_sent_us: 0,
@@ -177,7 +203,7 @@
             lease_end_us: 0,
             runs: SlotMap::with_key(),
             unknown_runs: BTreeMap::new(),
-            unanswered_starts: VecDeque::new(),
+            unanswered_starts: Vec::new(),
             entries: SlotMap::with_key(),
             announced_accepting: false,
             stopping: false,
@@ -280,6 +306,9 @@
         for run in self.runs.values() {
             next = next.min(run.due_us());
         }
+        for start in self.unanswered_starts.iter().filter(|_| !self.in_doubt) {
+            next = next.min(start.stop_due_us.unwrap_or(u64::MAX));
+        }
         for peer in self.entries.values() {
             next = next.min(self.grant_due_us(peer));
         }
@@ -300,47 +329,78 @@
     /// new incarnation may have received it with a late call.
     ///
     /// Runs are not ended here, because a start may have reached the new incarnation before its
-    /// first report; its first listing shows which runs were lost. Runs whose start the earlier
-    /// incarnation left unanswered are stopped, since the new one would still carry it out.
+    /// first report; its first listing shows which runs were lost. Runs with a start order that has
+    /// not been answered are stopped, since the new incarnation may carry it out late, and may have
+    /// less capacity.
     fn upstream_restarted(&mut self, incarnation: u64, now_us: u64) {
         self.incarnation = incarnation;
         self.profile = None;
         self.clock = Clock::default();
         self.last_end = 0;
         self.unknown_runs.clear();
-        let unanswered =
-            self.runs.iter().filter(|(_, run)| run.uses_capacity() && run.has_unanswered_start);
-        let unanswered: Vec<run::Key> = unanswered.map(|(key, _)| key).collect();
-        for key in unanswered {
-            self.send_stop(key, None, now_us);
+        for key in self.runs.keys().collect::<Vec<_>>() {
+            let run = &self.runs[key];
+            if run.may_start_late() {
+                self.send_stop(key, None, now_us);
+            } else if matches!(run.state, State::Retrying { .. }) {
+                self.refuse(key, Reason::Rejected);
+            }
         }
-        self.unanswered_starts.retain(|(ended_us, _, _)| ended_us + MAX_ORDER_DELAY_US > now_us);
-        for (_, task, attempt) in self.unanswered_starts.drain(..) {
-            let order = Order::Stop { task, attempt, fence: self.fence };
-            let (key, timeout_us) = (run::Key::default(), STOP_RETRY_US);
-            self.effects.push(Effect::Order { key, order, timeout_us });
+        for start in &mut self.unanswered_starts {
+            start.stop_due_us = Some(now_us);
         }
+        self.effects.push(Effect::Restarted { incarnation });
         self.phase = Phase::Unknown;
         self.poll_due_us = now_us;
     }
 
-    /// Ends every run that uses capacity as lost. To be called only when the upstream has
+    /// Records that the upstream may have restarted: a call was not answered, or an answer has the
+    /// clock of another incarnation. Until an answer shows which incarnation it is, nothing starts
+    /// and no lease is renewed.
+    fn doubt_incarnation(&mut self, now_us: u64) {
+        self.in_doubt = true;
+        self.extend_lease(MAX_UPSTREAM_LEASE_US, now_us);
+    }
+
+    /// Records the clock of an answer, which tells whether it is that of the known incarnation: the
+    /// clock of a later one started later and is behind.
+    fn record_clock(&mut self, clock_ms: u64, now_us: u64) {
+        let is_behind = self.clock.is_behind(clock_ms, now_us);
+        self.clock.record(clock_ms, now_us);
+        if is_behind {
+            self.doubt_incarnation(now_us);
+            self.poll_now(now_us);
+        } else {
+            self.in_doubt = false;
+        }
+    }
+
+    /// Ends runs that use capacity as lost, if they match. To be called only when the upstream has
     /// certainly ended them.
-    fn mark_all_lost(&mut self, now_us: u64) {
+    fn mark_lost(&mut self, matches: impl Fn(&Run) -> bool, now_us: u64) {
+        let is_lost = |run: &Run| run.uses_capacity() && matches(run);
         let keys: Vec<run::Key> =
-            self.runs.iter().filter(|(_, run)| run.uses_capacity()).map(|(key, _)| key).collect();
+            self.runs.iter().filter(|(_, run)| is_lost(run)).map(|(key, _)| key).collect();
         for key in keys {
             self.end_run(key, Outcome::Lost, now_us);
         }
     }
 
+    /// Ends the runs of an upstream that does not answer and whose lease has expired. One that may
+    /// start late ends only when its start can no longer be carried out, as a deadline on the clock
+    /// of an earlier incarnation does not prevent this.
+    fn expire_lease(&mut self, now_us: u64) {
+        if self.missed_polls == 0 || now_us < self.lease_end_us {
+            return;
+        }
+        let may_start = now_us < self.lease_end_us + MAX_ORDER_DELAY_US;
+        self.mark_lost(|run| !may_start || !run.may_start_late(), now_us);
+        self.phase = Phase::Unknown;
+    }
+
     /// Handles expired leases and waits, and repeats unanswered stops.
     fn expire(&mut self, now_us: u64) {
-        if self.lease_end_us != 0 && now_us >= self.lease_end_us && self.missed_polls > 0 {
-            self.lease_end_us = 0;
-            self.mark_all_lost(now_us);
-            self.phase = Phase::Unknown;
-        }
+        self.expire_lease(now_us);
         let stale: Vec<run::Key> = self
             .runs
             .iter()
@@ -353,13 +413,6 @@
             self.stop_run(key, Reason::EntryLease, now_us);
         }
         self.entries.retain(|_, peer| peer.prune(now_us));
-        while self
-            .unanswered_starts
-            .front()
-            .is_some_and(|(ended_us, _, _)| ended_us + MAX_ORDER_DELAY_US < now_us)
-        {
-            self.unanswered_starts.pop_front();
-        }
         let due: Vec<run::Key> = self
             .runs
             .iter()
@@ -381,6 +434,8 @@
             self.announced_accepting = self.is_accepting();
             self.effects.push(Effect::Profile);
         }
+        self.stop_unanswered_starts(now_us);
+        self.retry_starts(now_us);
         self.start_waiting(now_us);
         self.poll(now_us);
         self.send_grants(now_us);
--- a/crates/dispatch/src/worker/action.rs
+++ b/crates/dispatch/src/worker/action.rs
@@ -66,6 +66,11 @@
     },
     /// Send the upstream's profile to all entries.
     Profile,
+    /// Log that the upstream has restarted.
+    Restarted {
+        /// Its new incarnation.
+        incarnation: u64,
+    },
 }
 
 /// Renewable lease of an entry at this sidecar, with the sidecar's load.
--- a/crates/dispatch/src/worker/clock.rs
+++ b/crates/dispatch/src/worker/clock.rs
@@ -12,15 +12,18 @@
     ///
     /// A reading behind the estimate by at most `MAX_DRIFT_MS` is taken as delayed and ignored.
     pub fn record(&mut self, clock_ms: u64, now_us: u64) {
-        let newer = match self.at_ms(now_us) {
-            Some(estimate) => clock_ms >= estimate || estimate - clock_ms > MAX_DRIFT_MS,
-            None => true,
-        };
-        if newer {
+        let is_ahead = self.at_ms(now_us).is_none_or(|estimate| clock_ms >= estimate);
+        if is_ahead || self.is_behind(clock_ms, now_us) {
             self.reading = Some((clock_ms, now_us));
         }
     }
 
+    /// Returns whether a reading that arrived at `now_us` is too far behind the estimate for a slow
+    /// answer.
+    pub fn is_behind(&self, clock_ms: u64, now_us: u64) -> bool {
+        self.at_ms(now_us).is_some_and(|estimate| clock_ms + MAX_DRIFT_MS < estimate)
+    }
+
     /// Returns the estimated time on the other clock, in milliseconds; `None` before the first
     /// reading.
     pub fn at_ms(&self, now_us: u64) -> Option<u64> {
--- a/crates/dispatch/src/worker/entry.rs
+++ b/crates/dispatch/src/worker/entry.rs
@@ -6,8 +6,9 @@
 
 use super::{
     action::{Effect, Grant},
-    run::{self, End, Progress, Run},
-    Reason, Supervisor, ENTRY_LEASE_US, GRANT_INTERVAL_US, LOAD_INTERVAL_US, MIN_LOAD_INTERVAL_US,
+    run::{self, End, Progress, Run, State},
+    Reason, Supervisor, UnansweredStart, ENTRY_LEASE_US, GRANT_INTERVAL_US, LOAD_INTERVAL_US,
+    MIN_LOAD_INTERVAL_US,
 };
 
 /// Time for which ends are kept to be repeated when an entry reconnects, in microseconds.
@@ -208,10 +209,19 @@
         }
     }
 
+    /// Lets a grant with the present load be sent to all entries.
+    pub(super) fn announce_load(&mut self) {
+        for peer in self.entries.values_mut() {
+            peer.grant_now = true;
+        }
+    }
+
     /// Returns the cores and memory that neither active runs nor waiting starts need, negative if
-    /// these need more than there is.
+    /// these need more than there is. None are free while the upstream does not answer.
     fn free_capacity(&self) -> (i32, i32) {
-        let Some(profile) = &self.profile else { return (0, 0) };
+        let Some(profile) = self.profile.as_ref().filter(|_| self.missed_polls == 0) else {
+            return (0, 0);
+        };
         let cores: i64 = self.runs.values().map(|run| i64::from(run.cores)).sum();
         let memory: i64 = self.runs.values().map(|run| i64::from(run.memory_mb)).sum();
         let free = |all: u32, used: i64| (i64::from(all) - used).max(i64::from(i32::MIN)) as i32;
@@ -220,8 +230,11 @@
 
     /// Returns the time until enough runs are expected to have ended for all waiting starts and one
     /// more, if each start needs the capacity of one run. `None` while the progress of too few runs
-    /// is known.
+    /// is known, or the upstream does not answer.
     fn expected_wait_us(&self, now_us: u64) -> Option<u32> {
+        if self.missed_polls > 0 {
+            return None;
+        }
         let waiting = self.waiting();
         let mut ends: Vec<u64> = self.runs.values().filter_map(Run::expected_end_us).collect();
         ends.sort_unstable();
@@ -232,8 +245,14 @@
     /// Removes a run and notifies its entry of the outcome.
     pub(super) fn end_run(&mut self, key: run::Key, outcome: run::Outcome, now_us: u64) {
         let Some(run) = self.runs.remove(key) else { return };
-        if run.has_unanswered_start {
-            self.unanswered_starts.push_back((now_us, run.task.clone(), run.attempt));
+        if run.may_start_late() {
+            let is_stop_unanswered = matches!(run.state, State::Stopping { last_poll: None, .. });
+            self.unanswered_starts.push(UnansweredStart {
+                task: run.task.clone(),
+                attempt: run.attempt,
+                ended_us: now_us,
+                stop_due_us: is_stop_unanswered.then_some(now_us),
+            });
         }
         let end = End { run: run.number, outcome, ran_us: now_us.saturating_sub(run.started_us) };
         let Some(peer) = self.entries.get_mut(run.entry) else { return };
--- a/crates/dispatch/src/worker/order.rs
+++ b/crates/dispatch/src/worker/order.rs
@@ -5,8 +5,9 @@
     action::{Effect, Order, Reason, Reply},
     entry::Entry,
     run::{self, Outcome, Run, Start, State},
-    Phase, Supervisor, ENTRY_LEASE_US, MAX_FENCE, MAX_ORDER_TIMEOUT_US, MAX_START_TRIES,
-    ORDER_TIMEOUT_US, SLOW_CLOCK_PERMILLE, STOP_RETRY_US, STOP_US, UPSTREAM_LEASE_US,
+    Phase, Supervisor, ENTRY_LEASE_US, MAX_FENCE, MAX_ORDER_DELAY_US, MAX_ORDER_TIMEOUT_US,
+    MAX_START_TRIES, ORDER_TIMEOUT_US, SLOW_CLOCK_PERMILLE, STOP_RETRY_US, STOP_US,
+    UPSTREAM_LEASE_US,
 };
 
 impl Supervisor {
@@ -70,7 +71,7 @@
         now_us: u64,
     ) {
         if let Some(clock_ms) = clock_ms {
-            self.clock.record(clock_ms, now_us);
+            self.record_clock(clock_ms, now_us);
         }
         // Other orders under the same token may have been rejected before.
         if reply == Reply::Fence && order.fence() == self.fence {
@@ -78,7 +79,7 @@
         }
         match order {
             Order::Start { .. } => self.start_replied(key, reply, now_us),
-            Order::Stop { .. } => self.stop_replied(key, reply),
+            Order::Stop { task, attempt, .. } => self.stop_replied(key, task, *attempt, reply),
         }
         self.update(now_us);
     }
@@ -88,6 +89,7 @@
         let last_poll = self.poll_number;
         let Some(run) = self.runs.get_mut(key) else { return };
         let State::Starting { tries } = run.state else { return };
+        run.has_unanswered_start |= reply == Reply::Unanswered;
         let has_unanswered_start = run.has_unanswered_start;
         match reply {
             Reply::Done => run.state = State::Running { last_poll },
@@ -95,30 +97,35 @@
             Reply::Old if has_unanswered_start => run.state = State::Running { last_poll },
             Reply::Old if tries < MAX_START_TRIES => {
                 run.attempt += 1;
-                self.send_start(key, tries + 1, now_us);
+                run.state = State::Retrying { tries };
             }
-            Reply::Fence | Reply::Late if tries < MAX_START_TRIES => {
-                self.send_start(key, tries + 1, now_us);
-            }
-            Reply::Unanswered if tries < MAX_START_TRIES => {
-                run.has_unanswered_start = true;
-                self.send_start(key, tries + 1, now_us);
-            }
-            Reply::Unanswered => {
-                run.has_unanswered_start = true;
-                self.stop_run(key, Reason::Unanswered, now_us);
+            Reply::Fence | Reply::Late | Reply::Unanswered if tries < MAX_START_TRIES => {
+                run.state = State::Retrying { tries };
             }
+            Reply::Unanswered => self.stop_run(key, Reason::Unanswered, now_us),
             // An earlier copy of this start may still be carried out.
             _ if has_unanswered_start => self.stop_run(key, Reason::Rejected, now_us),
             _ => self.refuse(key, Reason::Rejected),
         }
+        if reply == Reply::Unanswered {
+            self.doubt_incarnation(now_us);
+            self.poll_now(now_us);
+        }
     }
 
     /// Handles the reply to a stop: a later poll that does not list the run then ends it.
-    fn stop_replied(&mut self, key: run::Key, reply: Reply) {
+    fn stop_replied(&mut self, key: run::Key, task: &str, attempt: u32, reply: Reply) {
+        if reply != Reply::Done {
+            return;
+        }
+        for start in &mut self.unanswered_starts {
+            if *start.task == *task && start.attempt == attempt {
+                start.stop_due_us = None;
+            }
+        }
         let number = self.poll_number;
         let Some(run) = self.runs.get_mut(key) else { return };
-        if let (State::Stopping { last_poll, .. }, Reply::Done) = (&mut run.state, reply) {
+        if let State::Stopping { last_poll, .. } = &mut run.state {
             last_poll.get_or_insert(number);
         }
     }
@@ -132,14 +139,51 @@
         if self.fence < MAX_FENCE {
             let raised = self.fence.saturating_add(self.fence_step).min(MAX_FENCE);
             self.fence = raised.max(clock_ms.unwrap_or(0));
-            self.poll_due_us = now_us;
+            self.poll_now(now_us);
+        }
+    }
+
+    /// Sends the start orders again that failed, once the incarnation of the upstream is known.
+    pub(super) fn retry_starts(&mut self, now_us: u64) {
+        if self.in_doubt || self.phase != Phase::Known {
+            return;
+        }
+        let retrying: Vec<(run::Key, u32)> = self
+            .runs
+            .iter()
+            .filter_map(|(key, run)| match run.state {
+                State::Retrying { tries } => Some((key, tries)),
+                _ => None,
+            })
+            .collect();
+        for (key, tries) in retrying {
+            self.send_start(key, tries + 1, now_us);
+        }
+    }
+
+    /// Sends the stops that are due for starts that the upstream may still carry out, and forgets
+    /// starts that it cannot carry out any more.
+    pub(super) fn stop_unanswered_starts(&mut self, now_us: u64) {
+        self.unanswered_starts.retain(|start| start.ended_us + MAX_ORDER_DELAY_US >= now_us);
+        if self.in_doubt {
+            return;
+        }
+        let fence = self.fence;
+        for start in &mut self.unanswered_starts {
+            if start.stop_due_us.is_some_and(|due_us| due_us <= now_us) {
+                start.stop_due_us = Some(now_us + STOP_RETRY_US);
+                let (task, attempt) = (start.task.clone(), start.attempt);
+                let order = Order::Stop { task, attempt, fence };
+                let (key, timeout_us) = (run::Key::default(), STOP_RETRY_US);
+                self.effects.push(Effect::Order { key, order, timeout_us });
+            }
         }
     }
 
     /// Starts waiting runs in order of urgency until one does not fit. A run whose task already has
     /// an active run is passed over.
     pub(super) fn start_waiting(&mut self, now_us: u64) {
-        if !self.is_accepting() {
+        if !self.is_accepting() || self.in_doubt {
             return;
         }
         let mut waiting: Vec<(u64, u64, run::Key)> = self
@@ -182,7 +226,7 @@
     /// Sends a start, which also extends the sidecar's lease at the upstream.
     fn send_start(&mut self, key: run::Key, tries: u32, now_us: u64) {
         let Some(clock_ms) = self.clock.at_ms(now_us) else { return };
-        self.extend_lease(now_us);
+        self.extend_lease(UPSTREAM_LEASE_US, now_us);
         let Some(run) = self.runs.get_mut(key) else { return };
         run.state = State::Starting { tries };
         let order = Order::Start {
@@ -197,10 +241,10 @@
     }
 
     /// Records the latest time by which the upstream has ended all runs if it receives nothing
-    /// more: after the lease, measured by a slow clock, and the time to stop the runs.
-    pub(super) fn extend_lease(&mut self, now_us: u64) {
-        let drift_us = UPSTREAM_LEASE_US * SLOW_CLOCK_PERMILLE / 1000;
-        self.lease_end_us = now_us + UPSTREAM_LEASE_US + drift_us + STOP_US;
+    /// more: after a lease from now, measured by a slow clock, and the time to stop the runs.
+    pub(super) fn extend_lease(&mut self, lease_us: u64, now_us: u64) {
+        let drift_us = lease_us * SLOW_CLOCK_PERMILLE / 1000;
+        self.lease_end_us = self.lease_end_us.max(now_us + lease_us + drift_us + STOP_US);
     }
 
     /// Stops a run, or refuses it if its start has not been sent.
@@ -208,7 +252,10 @@
         let Some(run) = self.runs.get(key) else { return };
         match run.state {
             State::Waiting { .. } => self.refuse(key, reason),
-            State::Starting { .. } | State::Running { .. } => self.send_stop(key, None, now_us),
+            State::Retrying { .. } if !run.has_unanswered_start => self.refuse(key, reason),
+            State::Starting { .. } | State::Retrying { .. } | State::Running { .. } => {
+                self.send_stop(key, None, now_us);
+            }
             State::Stopping { .. } => {}
         }
     }
@@ -216,6 +263,7 @@
     /// Sends a stop. `last_poll` is set if an earlier stop has been answered.
     pub(super) fn send_stop(&mut self, key: run::Key, last_poll: Option<u64>, now_us: u64) {
         let Some(run) = self.runs.get_mut(key) else { return };
+        run.has_unanswered_start = run.may_start_late();
         run.state = State::Stopping { sent_us: now_us, last_poll };
         let order = Order::Stop { task: run.task.clone(), attempt: run.attempt, fence: self.fence };
         self.effects.push(Effect::Order { key, order, timeout_us: STOP_RETRY_US });
@@ -227,7 +275,7 @@
         match run.state {
             State::Waiting { .. } => self.refuse(key, Reason::NoRoom),
             State::Stopping { last_poll, .. } => self.send_stop(key, last_poll, now_us),
-            State::Starting { .. } | State::Running { .. } => {}
+            State::Starting { .. } | State::Retrying { .. } | State::Running { .. } => {}
         }
     }
 
--- a/crates/dispatch/src/worker/poll.rs
+++ b/crates/dispatch/src/worker/poll.rs
@@ -36,23 +36,33 @@
         self.poll_sent_us = now_us;
         self.poll_number += 1;
         let idle = self.runs.values().all(|run| !run.uses_capacity());
-        let clock_ms = self.clock.at_ms(now_us).filter(|_| self.phase != Phase::Unknown);
-        if clock_ms.is_some() {
-            self.extend_lease(now_us);
+        let is_known = self.phase != Phase::Unknown && !self.in_doubt;
+        let clock_ms = self.clock.at_ms(now_us).filter(|_| is_known);
+        self.poll_renews = clock_ms.is_some();
+        if self.poll_renews {
+            self.extend_lease(UPSTREAM_LEASE_US, now_us);
         }
+        self.poll_wait_ms = match (self.phase, idle) {
+            (Phase::Known, true) if is_known => IDLE_POLL_WAIT_MS,
+            (Phase::Known, false) if is_known => POLL_WAIT_MS,
+            _ => 0,
+        };
         self.effects.push(Effect::Poll {
             number: self.poll_number,
             deadline_ms: clock_ms.map(|clock_ms| clock_ms + UPSTREAM_LEASE_US / 1000),
             fence: self.fence,
             last_end: self.last_end,
-            wait_ms: match (self.phase, idle) {
-                (Phase::Known, true) => IDLE_POLL_WAIT_MS,
-                (Phase::Known, false) => POLL_WAIT_MS,
-                _ => 0,
-            },
+            wait_ms: self.poll_wait_ms,
         });
     }
 
+    /// Lets the next poll be sent at once. A pending poll that the upstream may hold is given up; its
+    /// answer will be ignored, and the next one lists all that it would have listed.
+    pub(super) fn poll_now(&mut self, now_us: u64) {
+        self.poll_due_us = now_us;
+        self.poll_pending &= self.poll_wait_ms == 0;
+    }
+
     /// Handles the answer to a poll: ends runs that have ended or are no longer listed, records
     /// progress, and stops runs that this sidecar did not start. An answer of an earlier
     /// incarnation is ignored.
@@ -62,7 +72,10 @@
         }
         self.poll_pending = false;
         self.poll_due_us = now_us;
-        self.missed_polls = 0;
+        if self.missed_polls > 0 {
+            self.missed_polls = 0;
+            self.announce_load();
+        }
         // The report of a new incarnation is false if a poll that was sent after it still reaches
         // the earlier one.
         let is_report_false = self
@@ -77,6 +90,7 @@
         }
         self.incarnation_reported_us = None;
         self.clock.record(listing.clock_ms, now_us);
+        self.in_doubt = false;
         // The token may equal one of an earlier sidecar, whose late calls a higher one rejects.
         if self.fence == 0 || self.fence_step > 0 {
             self.fence = listing.clock_ms.max(self.fence + 1);
@@ -103,7 +117,7 @@
                     let run = &mut self.runs[key];
                     run.percent = percent;
                     run.percent_at_us = now_us;
-                    if matches!(run.state, State::Starting { .. }) {
+                    if matches!(run.state, State::Starting { .. } | State::Retrying { .. }) {
                         run.state = State::Running { last_poll: number };
                     }
                 }
@@ -127,16 +141,25 @@
         match reply {
             Reply::Fence => {
                 if let Some(clock_ms) = clock_ms {
-                    self.clock.record(clock_ms, now_us);
+                    self.record_clock(clock_ms, now_us);
                 }
                 self.raise_fence(clock_ms, now_us);
             }
             Reply::Down => {
                 self.missed_polls = u32::MAX / 2;
-                self.mark_all_lost(now_us);
+                self.mark_lost(|_| true, now_us);
                 self.phase = Phase::Unknown;
             }
-            _ => self.missed_polls += 1,
+            _ => {
+                if self.missed_polls == 0 {
+                    self.announce_load();
+                }
+                self.missed_polls += 1;
+                self.in_doubt = true;
+                if self.poll_renews {
+                    self.doubt_incarnation(now_us);
+                }
+            }
         }
         self.update(now_us);
     }
--- a/crates/dispatch/src/worker/run.rs
+++ b/crates/dispatch/src/worker/run.rs
@@ -77,6 +77,9 @@
     Waiting { until_us: u64 },
     /// The start order has been sent `tries` times.
     Starting { tries: u32 },
+    /// The last of `tries` start orders failed. The next one is sent once the incarnation of the
+    /// upstream is known.
+    Retrying { tries: u32 },
     /// The upstream has accepted the start. `last_poll` is the newest poll that was sent before
     /// the sidecar knew this; if the answer to a later poll omits the run, it is lost.
     Running { last_poll: u64 },
@@ -112,6 +115,12 @@
         !matches!(self.state, State::Waiting { .. })
     }
 
+    /// Returns whether a start order of this run may be carried out later: one was left unanswered,
+    /// or the answer to the last one is missing.
+    pub fn may_start_late(&self) -> bool {
+        self.has_unanswered_start || matches!(self.state, State::Starting { .. })
+    }
+
     /// Returns the time at which the run ends if it continues at its average rate so far; `None`
     /// before any progress.
     pub fn expected_end_us(&self) -> Option<u64> {
@@ -125,7 +134,7 @@
         match self.state {
             State::Waiting { until_us } => until_us,
             State::Stopping { sent_us, .. } => sent_us + STOP_RETRY_US,
-            State::Starting { .. } | State::Running { .. } => u64::MAX,
+            State::Starting { .. } | State::Retrying { .. } | State::Running { .. } => u64::MAX,
         }
     }
 }
--- a/crates/dispatch/tests/worker.rs
+++ b/crates/dispatch/tests/worker.rs
@@ -4,7 +4,8 @@
 
 use kingcup_dispatch::worker::{
     run, Effect, End, Entry, Listing, Order, Outcome, Profile, Reason, Reply, Start, Supervisor,
-    ENTRY_LEASE_US, GRANT_INTERVAL_US, MIN_LOAD_INTERVAL_US, STOP_US, UPSTREAM_LEASE_US,
+    ENTRY_LEASE_US, GRANT_INTERVAL_US, MAX_UPSTREAM_LEASE_US, MIN_LOAD_INTERVAL_US, STOP_US,
+    UPSTREAM_LEASE_US,
 };
 use rstest::rstest;
 
@@ -137,6 +138,17 @@
     supervisor.replied(key, &order, Reply::Unanswered, None, now_us);
 }
 
+/// Returns the start that is sent again once the upstream has answered a poll, and not before.
+fn repeated_start(supervisor: &mut Supervisor, now_us: u64) -> (run::Key, Order) {
+    assert_eq!(drain_orders(supervisor), [], "the upstream may have restarted");
+    let effects = answer_poll(supervisor, vec![], vec![], now_us);
+    let orders = effects.into_iter().filter_map(|effect| match effect {
+        Effect::Order { key, order, .. } => Some((key, order)),
+        _ => None,
+    });
+    orders.collect::<Vec<_>>().remove(0)
+}
+
 /// Guards against runs that use more cores than the upstream has.
 #[test]
 fn a_start_without_capacity_waits_and_is_refused_after_its_longest_wait() {
@@ -208,7 +220,7 @@
     supervisor.tick(now_us);
     let (key, first) = drain_orders(&mut supervisor).remove(0);
     supervisor.replied(key, &first, Reply::Unanswered, None, now_us + 60_000);
-    let (key, second) = drain_orders(&mut supervisor).remove(0);
+    let (key, second) = repeated_start(&mut supervisor, now_us + 60_000);
     let attempts = [&first, &second].map(|order| match order {
         Order::Start { attempt, .. } | Order::Stop { attempt, .. } => *attempt,
     });
@@ -325,8 +337,7 @@
             }
         }
     }
-    // Each poll extends the lease, even one that is not answered, so there may be no loss at all.
-    assert!(lost_us.is_none_or(|lost_us| lost_us >= lease_end_us));
+    assert!(lost_us.is_some_and(|lost_us| lost_us >= lease_end_us), "lost at {lost_us:?}");
 }
 
 /// Guards against a busy loop of calls to an upstream that resets each connection immediately.
@@ -434,7 +445,7 @@
     let now_us = 1_000_000;
     let (mut supervisor, entry) = open_supervisor(now_us);
     start_unanswered(&mut supervisor, entry, now_us);
-    let (key, order) = drain_orders(&mut supervisor).remove(0);
+    let (key, order) = repeated_start(&mut supervisor, now_us);
     supervisor.replied(key, &order, Reply::Done, None, now_us);
     supervisor.report(profile(2, true), 1, 100, now_us);
     let effects = answer_polls_after_restart(&mut supervisor, vec![], now_us + 1_000);
@@ -599,6 +610,99 @@
     assert!(effects.iter().any(|effect| matches!(effect, Effect::Grant { .. })));
 }
 
+/// Leaves all polls unanswered for a time, and returns when the first run was lost.
+fn lost_without_answers(
+    supervisor: &mut Supervisor,
+    entry: Entry,
+    from_us: u64,
+    for_us: u64,
+) -> Option<u64> {
+    for at_us in (from_us..from_us + for_us).step_by(10_000) {
+        supervisor.renew(entry, at_us);
+        supervisor.tick(at_us);
+        for effect in supervisor.drain() {
+            match effect {
+                Effect::Poll { number, .. } => {
+                    supervisor.poll_failed(number, Reply::Unanswered, None, at_us);
+                }
+                Effect::Ended { .. } => return Some(at_us),
+                _ => {}
+            }
+        }
+    }
+    None
+}
+
+/// Guards against a second run of a task whose start was carried out by the next incarnation of an
+/// upstream: to its clock the deadline is far ahead, so it holds the run for its longest lease.
+#[test]
+fn a_run_under_the_clock_of_an_earlier_incarnation_is_not_lost_before_the_longest_lease() {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open_supervisor(now_us);
+    supervisor.start(entry, start(1, now_us), now_us);
+    supervisor.tick(now_us);
+    let (key, order) = drain_orders(&mut supervisor).remove(0);
+    supervisor.replied(key, &order, Reply::Done, Some(150), now_us);
+    supervisor.start(entry, start(2, now_us), now_us);
+    supervisor.tick(now_us);
+    assert_eq!(drain_orders(&mut supervisor), [], "the capacity of this incarnation is unknown");
+    let lost_us = lost_without_answers(&mut supervisor, entry, now_us, 2_000_000);
+    let lease_end_us = now_us + MAX_UPSTREAM_LEASE_US + MAX_UPSTREAM_LEASE_US / 50 + STOP_US;
+    assert!(lost_us.is_some_and(|lost_us| lost_us >= lease_end_us), "lost at {lost_us:?}");
+}
+
+/// Guards against a second run of a task whose start was left unanswered by an upstream that went
+/// silent, as its next incarnation may still carry the start out.
+#[test]
+fn a_run_that_may_start_late_is_not_lost_with_the_lease() {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open_supervisor(now_us);
+    start_unanswered(&mut supervisor, entry, now_us);
+    let lost_us = lost_without_answers(&mut supervisor, entry, now_us, 20_000_000);
+    assert!(lost_us.is_some_and(|lost_us| lost_us >= now_us + 15_000_000), "lost at {lost_us:?}");
+}
+
+/// Guards against a start that each later incarnation of an upstream may carry out, and that is
+/// stopped in one of them only, or by a stop that was lost.
+#[test]
+fn an_unanswered_start_is_stopped_in_each_incarnation_until_the_stop_is_answered() {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open_supervisor(now_us);
+    start_unanswered(&mut supervisor, entry, now_us);
+    answer_poll(&mut supervisor, vec![], vec![(1, "task-1".into(), 1, Outcome::Failed)], now_us);
+    for incarnation in 2..4 {
+        supervisor.report(profile(incarnation, true), 1, 100, now_us);
+        let (key, stop) = drain_orders(&mut supervisor).remove(0);
+        supervisor.replied(key, &stop, Reply::Unanswered, None, now_us + 60_000);
+        supervisor.tick(now_us + 60_000);
+        let (key, stop) = drain_orders(&mut supervisor).remove(0);
+        assert!(matches!(stop, Order::Stop { .. }));
+        supervisor.replied(key, &stop, Reply::Done, None, now_us + 60_000);
+        supervisor.tick(now_us + 120_000);
+        assert_eq!(drain_orders(&mut supervisor), []);
+    }
+}
+
+/// Guards against starts that wait at a silent upstream for as long as it is silent, instead of going
+/// elsewhere.
+#[test]
+fn a_silent_upstream_reports_no_free_capacity_and_starts_nothing() {
+    let now_us = 1_000_000;
+    let (mut supervisor, entry) = open_supervisor(now_us);
+    supervisor.tick(now_us);
+    let number = pending_poll(&supervisor.drain());
+    supervisor.poll_failed(number, Reply::Unanswered, None, now_us);
+    supervisor.start(entry, Start { wait_us: 5_000, ..start(1, now_us) }, now_us);
+    supervisor.tick(now_us + 5_000);
+    let effects = supervisor.drain();
+    assert_eq!(refusals(&effects), [(1, Reason::NoRoom)]);
+    let free = effects.iter().filter_map(|effect| match effect {
+        Effect::Grant { grant, .. } => Some(grant.free_cores),
+        _ => None,
+    });
+    assert!(free.clone().count() > 0 && free.max() == Some(0));
+}
+
 /// Fencing token that an upstream has received: the clock of an incarnation that ran for three days.
 const SEEN_FENCE: u64 = 3 * 24 * 3_600 * 1_000;
 
--- a/crates/node/src/runs/sidecar.rs
+++ b/crates/node/src/runs/sidecar.rs
@@ -227,6 +227,9 @@
                 }
                 Effect::Grant { entry, grant } => grants.push((entry, grant)),
                 Effect::Profile => profile = true,
+                Effect::Restarted { incarnation } => {
+                    log::info!("event=upstream_restarted incarnation={incarnation}");
+                }
             }
         }
         if profile {
