Follow an upstream whose incarnation fell with its time of day

What callers saw: nothing but less capacity. An upstream that restarted after its time of day was set back got no work until its sidecar restarted, while its reports were answered as usual.

Cause: the incarnation is the Unix time of the start. A list with a lower one was ignored as late, for ever, unless a report had raised it just before.

Change: a list is late only if its poll was sent before the present incarnation was known. The rule for false reports of other writers is a case of this, so it is replaced; its tests hold unchanged.

The new test fails before.

--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -137,8 +137,8 @@
     sequence: u64,
     /// Incarnation of the upstream.
     incarnation: u64,
-    /// Time of the report that raised the incarnation, until a poll has confirmed it.
-    incarnation_reported_us: Option<u64>,
+    /// Time at which the incarnation became known.
+    incarnation_known_us: u64,
     phase: Phase,
     clock: Clock,
     /// Whether the upstream may have restarted since its last answer.
@@ -186,7 +186,7 @@
             profile: None,
             sequence: 0,
             incarnation: 0,
-            incarnation_reported_us: None,
+            incarnation_known_us: 0,
             phase: Phase::Unknown,
             clock: Clock::default(),
             in_doubt: false,
@@ -220,7 +220,6 @@
         }
         if profile.incarnation > self.incarnation {
             self.upstream_restarted(profile.incarnation, now_us);
-            self.incarnation_reported_us = Some(now_us);
         } else if self.is_implausible(sequence, clock_ms, now_us)
             || self.profile.is_some() && sequence <= self.sequence
         {
@@ -334,6 +333,7 @@
     /// less capacity.
     fn upstream_restarted(&mut self, incarnation: u64, now_us: u64) {
         self.incarnation = incarnation;
+        self.incarnation_known_us = now_us;
         self.profile = None;
         self.clock = Clock::default();
         self.last_end = 0;
--- a/crates/dispatch/src/worker/poll.rs
+++ b/crates/dispatch/src/worker/poll.rs
@@ -76,19 +76,17 @@
             self.missed_polls = 0;
             self.announce_load();
         }
-        // The report of a new incarnation is false if a poll that was sent after it still reaches
-        // the earlier one.
-        let is_report_false = self
-            .incarnation_reported_us
-            .is_some_and(|reported_us| listing.incarnation != 0 && reported_us < self.poll_sent_us);
-        if listing.incarnation < self.incarnation && !is_report_false {
+        // A lower incarnation is an earlier one only if the poll was sent before the present one was
+        // known. Otherwise a report of the present one was false, or the upstream has restarted after
+        // its time of day was set back.
+        let is_current = listing.incarnation != 0 && self.incarnation_known_us < self.poll_sent_us;
+        if listing.incarnation < self.incarnation && !is_current {
             self.update(now_us);
             return;
         }
         if listing.incarnation != self.incarnation {
             self.upstream_restarted(listing.incarnation, now_us);
         }
-        self.incarnation_reported_us = None;
         self.clock.record(listing.clock_ms, now_us);
         self.in_doubt = false;
         // The token may equal one of an earlier sidecar, whose late calls a higher one rejects.
--- a/crates/dispatch/tests/worker.rs
+++ b/crates/dispatch/tests/worker.rs
@@ -377,6 +377,17 @@
     supervisor: &mut Supervisor,
     running: Vec<(Arc<str>, u32, u32)>,
     now_us: u64,
+) -> Vec<Effect> {
+    answer_polls_of(supervisor, 2, running, now_us)
+}
+
+/// Answers up to three polls with the runs of an incarnation of the upstream, and returns all effects;
+/// the last poll stays queued.
+fn answer_polls_of(
+    supervisor: &mut Supervisor,
+    incarnation: u64,
+    running: Vec<(Arc<str>, u32, u32)>,
+    now_us: u64,
 ) -> Vec<Effect> {
     let mut effects = Vec::new();
     for _ in 0..3 {
@@ -387,7 +398,7 @@
         });
         effects.extend(drained);
         let running = running.clone();
-        let listing = Listing { incarnation: 2, clock_ms: 100, running, ended: vec![] };
+        let listing = Listing { incarnation, clock_ms: 100, running, ended: vec![] };
         if let Some(number) = number {
             supervisor.poll_answered(number, listing, now_us);
         }
@@ -438,6 +449,22 @@
     assert!(!supervisor.is_accepting());
 }
 
+/// Guards against an upstream that gets no work until its sidecar restarts, because its time of day was
+/// set back before it started again, which makes its incarnation lower than the earlier one.
+#[test]
+fn an_incarnation_after_the_time_of_day_was_set_back_is_followed() {
+    let now_us = 1_000_000;
+    let (mut supervisor, _) = open_supervisor(now_us);
+    supervisor.report(profile(5, true), 1, 100, now_us);
+    answer_polls_of(&mut supervisor, 5, vec![], now_us + 1_000);
+    assert!(supervisor.is_accepting());
+    supervisor.report(profile(2, true), 1, 100, now_us + 500_000);
+    answer_polls_after_restart(&mut supervisor, vec![], now_us + 501_000);
+    supervisor.report(profile(2, true), 2, 1_600, now_us + 2_000_000);
+    assert_eq!(supervisor.profile().map(|profile| profile.incarnation), Some(2));
+    assert!(supervisor.is_accepting());
+}
+
 /// Guards against a start that a crashed upstream left unanswered, and that its next incarnation
 /// carries out beside the run that replaced it.
 #[test]
