--- a/crates/dispatch/tests/worker.rs
+++ b/crates/dispatch/tests/worker.rs
@@ -51,13 +51,13 @@
     (supervisor, entry)
 }
 
-/// Returns the number of the last poll among effects.
-fn pending_poll(effects: &[Effect]) -> u64 {
-    let number = effects.iter().rev().find_map(|effect| match effect {
-        Effect::Poll { number, .. } => Some(*number),
+/// Returns the number and fencing token of the last poll among effects.
+fn pending_poll(effects: &[Effect]) -> (u64, u64) {
+    let poll = effects.iter().rev().find_map(|effect| match effect {
+        Effect::Poll { number, fence, .. } => Some((*number, *fence)),
         _ => None,
     });
-    number.expect("a poll is pending")
+    poll.expect("a poll is pending")
 }
 
 /// Answers the pending poll with this listing and returns the effects that follow, except the next
@@ -70,7 +70,7 @@
 ) -> Vec<Effect> {
     let mut effects = supervisor.drain();
     let listing = Listing { incarnation: 1, clock_ms: CLOCK_MS + now_us / 1000, running, ended };
-    supervisor.poll_answered(pending_poll(&effects), listing, now_us);
+    supervisor.poll_answered(pending_poll(&effects).0, listing, now_us);
     let more = supervisor.drain();
     // The next poll stays queued for the next call.
     effects.clear();
@@ -116,8 +116,8 @@
         .collect()
 }
 
-/// Starts a run whose start order the upstream accepts.
-fn start_accepted(
+/// Starts a run, and returns its start order.
+fn send_start(
     supervisor: &mut Supervisor,
     entry: Entry,
     run: u64,
@@ -125,16 +125,24 @@
 ) -> (run::Key, Order) {
     supervisor.start(entry, start(run, now_us), now_us);
     supervisor.tick(now_us);
-    let (key, order) = drain_orders(supervisor).remove(0);
+    drain_orders(supervisor).remove(0)
+}
+
+/// Starts a run whose start order the upstream accepts.
+fn start_accepted(
+    supervisor: &mut Supervisor,
+    entry: Entry,
+    run: u64,
+    now_us: u64,
+) -> (run::Key, Order) {
+    let (key, order) = send_start(supervisor, entry, run, now_us);
     supervisor.replied(key, &order, Reply::Done, None, now_us);
     (key, order)
 }
 
 /// Starts run 1, and leaves its start order unanswered.
 fn start_unanswered(supervisor: &mut Supervisor, entry: Entry, now_us: u64) {
-    supervisor.start(entry, start(1, now_us), now_us);
-    supervisor.tick(now_us);
-    let (key, order) = drain_orders(supervisor).remove(0);
+    let (key, order) = send_start(supervisor, entry, 1, now_us);
     supervisor.replied(key, &order, Reply::Unanswered, None, now_us);
 }
 
@@ -216,9 +224,7 @@
 fn an_unanswered_start_is_repeated_as_the_same_attempt() {
     let now_us = 1_000_000;
     let (mut supervisor, entry) = open_supervisor(now_us);
-    supervisor.start(entry, start(1, now_us), now_us);
-    supervisor.tick(now_us);
-    let (key, first) = drain_orders(&mut supervisor).remove(0);
+    let (key, first) = send_start(&mut supervisor, entry, 1, now_us);
     supervisor.replied(key, &first, Reply::Unanswered, None, now_us + 60_000);
     let (key, second) = repeated_start(&mut supervisor, now_us + 60_000);
     let attempts = [&first, &second].map(|order| match order {
@@ -239,9 +245,7 @@
 fn a_start_rejected_as_old_is_repeated_as_the_next_attempt() {
     let now_us = 1_000_000;
     let (mut supervisor, entry) = open_supervisor(now_us);
-    supervisor.start(entry, start(1, now_us), now_us);
-    supervisor.tick(now_us);
-    let (key, order) = drain_orders(&mut supervisor).remove(0);
+    let (key, order) = send_start(&mut supervisor, entry, 1, now_us);
     supervisor.replied(key, &order, Reply::Old, None, now_us);
     let orders = drain_orders(&mut supervisor);
     assert!(matches!(orders[..], [(_, Order::Start { attempt: 2, .. })]));
@@ -666,9 +670,7 @@
 fn a_run_under_the_clock_of_an_earlier_incarnation_is_not_lost_before_the_longest_lease() {
     let now_us = 1_000_000;
     let (mut supervisor, entry) = open_supervisor(now_us);
-    supervisor.start(entry, start(1, now_us), now_us);
-    supervisor.tick(now_us);
-    let (key, order) = drain_orders(&mut supervisor).remove(0);
+    let (key, order) = send_start(&mut supervisor, entry, 1, now_us);
     supervisor.replied(key, &order, Reply::Done, Some(150), now_us);
     supervisor.start(entry, start(2, now_us), now_us);
     supervisor.tick(now_us);
@@ -717,7 +719,7 @@
     let now_us = 1_000_000;
     let (mut supervisor, entry) = open_supervisor(now_us);
     supervisor.tick(now_us);
-    let number = pending_poll(&supervisor.drain());
+    let (number, _) = pending_poll(&supervisor.drain());
     supervisor.poll_failed(number, Reply::Unanswered, None, now_us);
     supervisor.start(entry, Start { wait_us: 5_000, ..start(1, now_us) }, now_us);
     supervisor.tick(now_us + 5_000);
@@ -742,13 +744,7 @@
     supervisor.report(profile(1, true), 1, 100, now_us);
     let mut fences = Vec::new();
     while !supervisor.is_accepting() && fences.len() < 100 {
-        let effects = supervisor.drain();
-        let number = pending_poll(&effects);
-        let fence = effects.iter().find_map(|effect| match effect {
-            Effect::Poll { fence, .. } => Some(*fence),
-            _ => None,
-        });
-        let fence = fence.unwrap_or_default();
+        let (number, fence) = pending_poll(&supervisor.drain());
         fences.push(fence);
         if fence < SEEN_FENCE {
             supervisor.poll_failed(number, Reply::Fence, Some(100), now_us);
