Part the unanswered starts from the other orders of a sidecar

Moves the start orders of ended runs that an upstream may still carry out, and the stops for them, into a module of their own. No change of behaviour: the tests of the supervisor and of the world in virtual time pass unchanged.

--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -11,6 +11,7 @@
 mod order;
 mod poll;
 pub mod run;
+mod unanswered;
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -117,18 +118,6 @@
     Known,
 }
 
-/// A start order without an answer, of a run that has ended.
-#[derive(Debug)]
-struct UnansweredStart {
-    task: Arc<str>,
-    attempt: u32,
-    /// Time at which the run ended.
-    ended_us: u64,
-    /// Time at which a stop is to be sent; `None` if the present incarnation of the upstream rejects
-    /// the start, because the run ended in it or a stop was answered.
-    stop_due_us: Option<u64>,
-}
-
 /// Supervises the runs of one upstream VM.
 #[derive(Debug)]
 pub struct Supervisor {
@@ -165,7 +154,7 @@
     /// time at which a stop was last sent for each.
     unknown_runs: BTreeMap<(Arc<str>, u32), u64>,
     /// Ended runs with a start order that was never answered.
-    unanswered_starts: Vec<UnansweredStart>,
+    unanswered_starts: Vec<unanswered::Start>,
     entries: SlotMap<Entry, Peer>,
     /// Whether starts were accepted according to the last profile sent to entries.
     announced_accepting: bool,
@@ -305,9 +294,7 @@
         for run in self.runs.values() {
             next = next.min(run.due_us());
         }
-        for start in self.unanswered_starts.iter().filter(|_| !self.in_doubt) {
-            next = next.min(start.stop_due_us.unwrap_or(u64::MAX));
-        }
+        next = next.min(self.unanswered_due_us());
         for peer in self.entries.values() {
             next = next.min(self.grant_due_us(peer));
         }
@@ -346,9 +333,7 @@
                 self.refuse(key, Reason::Rejected);
             }
         }
-        for start in &mut self.unanswered_starts {
-            start.stop_due_us = Some(now_us);
-        }
+        self.stop_unanswered_starts(now_us);
         self.effects.push(Effect::Restarted { incarnation });
         self.phase = Phase::Unknown;
         self.poll_due_us = now_us;
@@ -434,7 +419,7 @@
             self.announced_accepting = self.is_accepting();
             self.effects.push(Effect::Profile);
         }
-        self.stop_unanswered_starts(now_us);
+        self.send_due_stops(now_us);
         self.retry_starts(now_us);
         self.start_waiting(now_us);
         self.poll(now_us);
--- a/crates/dispatch/src/worker/entry.rs
+++ b/crates/dispatch/src/worker/entry.rs
@@ -6,9 +6,8 @@
 
 use super::{
     action::{Effect, Grant},
-    run::{self, End, Progress, Run, State},
-    Reason, Supervisor, UnansweredStart, ENTRY_LEASE_US, GRANT_INTERVAL_US, LOAD_INTERVAL_US,
-    MIN_LOAD_INTERVAL_US,
+    run::{self, End, Progress, Run},
+    Reason, Supervisor, ENTRY_LEASE_US, GRANT_INTERVAL_US, LOAD_INTERVAL_US, MIN_LOAD_INTERVAL_US,
 };
 
 /// Time for which ends are kept to be repeated when an entry reconnects, in microseconds.
@@ -245,15 +244,7 @@
     /// Removes a run and notifies its entry of the outcome.
     pub(super) fn end_run(&mut self, key: run::Key, outcome: run::Outcome, now_us: u64) {
         let Some(run) = self.runs.remove(key) else { return };
-        if run.may_start_late() {
-            let is_stop_unanswered = matches!(run.state, State::Stopping { last_poll: None, .. });
-            self.unanswered_starts.push(UnansweredStart {
-                task: run.task.clone(),
-                attempt: run.attempt,
-                ended_us: now_us,
-                stop_due_us: is_stop_unanswered.then_some(now_us),
-            });
-        }
+        self.keep_unanswered_start(&run, now_us);
         let end = End { run: run.number, outcome, ran_us: now_us.saturating_sub(run.started_us) };
         let Some(peer) = self.entries.get_mut(run.entry) else { return };
         peer.ends.push_back((now_us, run.task.clone(), end));
--- a/crates/dispatch/src/worker/order.rs
+++ b/crates/dispatch/src/worker/order.rs
@@ -5,9 +5,8 @@
     action::{Effect, Order, Reason, Reply},
     entry::Entry,
     run::{self, Outcome, Run, Start, State},
-    Phase, Supervisor, ENTRY_LEASE_US, MAX_FENCE, MAX_ORDER_DELAY_US, MAX_ORDER_TIMEOUT_US,
-    MAX_START_TRIES, ORDER_TIMEOUT_US, SLOW_CLOCK_PERMILLE, STOP_RETRY_US, STOP_US,
-    UPSTREAM_LEASE_US,
+    Phase, Supervisor, ENTRY_LEASE_US, MAX_FENCE, MAX_ORDER_TIMEOUT_US, MAX_START_TRIES,
+    ORDER_TIMEOUT_US, SLOW_CLOCK_PERMILLE, STOP_RETRY_US, STOP_US, UPSTREAM_LEASE_US,
 };
 
 impl Supervisor {
@@ -118,11 +117,7 @@
         if reply != Reply::Done {
             return;
         }
-        for start in &mut self.unanswered_starts {
-            if *start.task == *task && start.attempt == attempt {
-                start.stop_due_us = None;
-            }
-        }
+        self.unanswered_start_stopped(task, attempt);
         let number = self.poll_number;
         let Some(run) = self.runs.get_mut(key) else { return };
         if let State::Stopping { last_poll, .. } = &mut run.state {
@@ -161,25 +156,6 @@
         }
     }
 
-    /// Sends the stops that are due for starts that the upstream may still carry out, and forgets
-    /// starts that it cannot carry out any more.
-    pub(super) fn stop_unanswered_starts(&mut self, now_us: u64) {
-        self.unanswered_starts.retain(|start| start.ended_us + MAX_ORDER_DELAY_US >= now_us);
-        if self.in_doubt {
-            return;
-        }
-        let fence = self.fence;
-        for start in &mut self.unanswered_starts {
-            if start.stop_due_us.is_some_and(|due_us| due_us <= now_us) {
-                start.stop_due_us = Some(now_us + STOP_RETRY_US);
-                let (task, attempt) = (start.task.clone(), start.attempt);
-                let order = Order::Stop { task, attempt, fence };
-                let (key, timeout_us) = (run::Key::default(), STOP_RETRY_US);
-                self.effects.push(Effect::Order { key, order, timeout_us });
-            }
-        }
-    }
-
     /// Starts waiting runs in order of urgency until one does not fit. A run whose task already has
     /// an active run is passed over.
     pub(super) fn start_waiting(&mut self, now_us: u64) {
--- a/crates/dispatch/src/worker/poll.rs
+++ b/crates/dispatch/src/worker/poll.rs
@@ -154,6 +154,7 @@
                 }
                 self.missed_polls += 1;
                 self.in_doubt = true;
+                // The next incarnation may have received the deadline of this poll.
                 if self.poll_renews {
                     self.doubt_incarnation(now_us);
                 }
