review: no request is served after all entries were replaced

Cause: sidecars read the addresses of entries in their settings again only on SIGHUP and find no entry otherwise once all that they know are gone.

--- a/review/lib2/kit.py
+++ b/review/lib2/kit.py
@@ -557,7 +557,8 @@
         fields = self.fields()
         return re.sub(r"\{\{([^}]+)\}\}", lambda match: fields[match.group(1)], text)
 
-    def start(self):
+    def write_settings(self):
+        """The platform places the settings at their location, at a start and when they change."""
         name = "entry" if self.role == "entry" else "sidecar"
         with open(os.path.join(ROOT, "deploy", name + ".ini")) as template:
             text = self.fill(template.read())
@@ -565,6 +566,10 @@
             text = self.cluster.adapt(self, text)
         with open(self.settings, "w") as file:
             file.write(text)
+
+    def start(self):
+        name = "entry" if self.role == "entry" else "sidecar"
+        self.write_settings()
         with open(os.path.join(ROOT, "deploy", "system.toml")) as file:
             deploy = file.read()
         run = re.search(r"\[roles\.%s\]\s*\nrun = \"([^\"]*)\"" % name, deploy).group(1)
@@ -600,6 +605,7 @@
         self.store_address = (self.net + ".250", 8169)
         self.runs = []
         self.relays = []
+        self.removed = []
         self.entries = [
             Process(self, "entry", i + 1, "%s.%d" % (self.net, 1 + i)) for i in range(entries)
         ]
@@ -660,7 +666,7 @@
                 await asyncio.sleep(0.05)
 
     def close(self):
-        for process in self.entries + self.sidecars:
+        for process in self.entries + self.removed + self.sidecars:
             if process.is_running():
                 process.process.send_signal(signal.SIGCONT)
                 process.process.kill()
