--- a/review/lib2/kit.py
+++ b/review/lib2/kit.py
@@ -332,7 +332,10 @@
         if path not in ("/run-start", "/run-stop", "/hold"):
             return response(404)
         args = json.loads(body)
+        born = self.born
         await self.lag(self.call_lag_s)
+        if self.born != born or not self.up:
+            return None
         if path != "/hold" and random.random() < self.late:
             asyncio.ensure_future(self.carry_out_late(path, args, self.born))
             return None
@@ -659,7 +662,9 @@
                     status, _ = await call(entry.ready, "GET", "/ready", None, 1.0)
                     _, text = await call(entry.metrics, "GET", "/metrics", None, 1.0)
                     found = re.search(rb"^kingcup_workers\S* (\d+)", text, re.M)
-                    if status == 200 and found and int(found.group(1)) == len(self.sidecars):
+                    # A sidecar connects to six entries.
+                    all_known = found and int(found.group(1)) == len(self.sidecars)
+                    if status == 200 and (all_known or len(self.entries) > 6):
                         break
                 except (OSError, asyncio.TimeoutError):
                     pass
