--- a/review/lib2/kit.py
+++ b/review/lib2/kit.py
@@ -148,6 +148,8 @@
         self.revision = 10
         self.events = []  # (revision, key, value)
         self.changed = asyncio.Event()
+        # Set when a watch begins that the store may hold for nearly 3 s.
+        self.watch_begins = asyncio.Event()
 
     def write(self, version, routes):
         """The operator writes a configuration; the return is the store's acknowledgement."""
@@ -180,6 +182,9 @@
             return response(200, {"items": [], "has_more": False, "at_rev": self.revision})
         if path == "/kv-watch":
             after, prefix = int(args["after"]), args["path_prefix"]
+            if int(args["wait_ms"]) > 2800:
+                self.watch_begins.set()
+                self.watch_begins = asyncio.Event()
             until = time.monotonic() + min(int(args["wait_ms"]), 30000) / 1000
             while True:
                 events = [e for e in self.events if e[0] > after and e[1].startswith(prefix)]
@@ -598,9 +603,6 @@
     def is_running(self):
         return self.process is not None and self.process.poll() is None
 
-    def workers(self):
-        return None
-
 
 class Cluster:
     """A small deployment on loopback addresses."""
@@ -708,6 +710,8 @@
         return await play(cluster)
 
     code = 2
+    # The processes are ended also when the script itself is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     loop.set_exception_handler(lambda loop, context: None)
@@ -717,7 +721,7 @@
             cluster.record("BROKEN " + breach)
             print("broken:", breach)
         code = 1 if breaches else 0
-    except Exception as error:  # the case could not run
+    except (Exception, SystemExit) as error:  # the case could not run
         cluster.record("could not run: %r" % (error,))
         print("could not run: %r" % (error,))
     finally:
