Close idle connections that may be silent after an unanswered call

The idle connections of the sidecar to its upstream had gone silent before.

Cause: a call without an answer closed its own connection, and its retry took the next idle one, which was silent too.

Ruled out: a stop sent late (0.1 ms after the entry noticed that the caller had left), an upstream that ignores stops (its record shows none), and an expired lease (polls on the connection that was in use were all answered).

Change: the client closes all idle connections to the address that have not answered since the call was sent, and prefers the idle connection that answered last. Polls and calls to the store use the same pool.

--- a/crates/node/src/web/client.rs
+++ b/crates/node/src/web/client.rs
@@ -35,27 +35,39 @@
 /// A call that ended: its token with the response or the fault.
 pub type Completion<T> = (T, Result<Response, Fault>);
 
+/// A call that waits for its answer.
+struct Call<T> {
+    token: T,
+    deadline_us: u64,
+    /// Number of the call, in the order in which the calls of the pool were sent.
+    number: u64,
+}
+
 struct Connection<T> {
     stream: TcpStreamBuf,
     address: SocketAddr,
-    call: Option<(T, u64)>,
+    call: Option<Call<T>>,
     connected: bool,
+    /// Number of the newest call of the pool when the last answer arrived here.
+    answered_at: u64,
 }
 
 /// Pool of connections to other processes. Each connection carries one call at a time.
 pub struct Client<T> {
     connections: SlotMap<Id, Connection<T>>,
     limits: Limits,
+    /// Number of calls sent so far.
+    calls: u64,
 }
 
 impl<T> Client<T> {
     /// Creates an empty pool.
     pub fn open(limits: Limits) -> Self {
-        Self { connections: SlotMap::with_key(), limits }
+        Self { connections: SlotMap::with_key(), limits, calls: 0 }
     }
 
-    /// Sends a request on an idle connection or a new one. `ready` or `expire` later returns the
-    /// end of the call, with `token`.
+    /// Sends a request on the idle connection that answered last, or on a new one. `ready` or
+    /// `expire` later returns the end of the call, with `token`.
     ///
     /// # Errors
     ///
@@ -72,9 +84,10 @@
         let idle = self
             .connections
             .iter()
-            .find(|(_, connection)| {
+            .filter(|(_, connection)| {
                 connection.address == address && connection.call.is_none() && connection.connected
             })
+            .max_by_key(|(_, connection)| connection.answered_at)
             .map(|(id, _)| id);
         let id = match idle {
             Some(id) => id,
@@ -86,9 +99,10 @@
                 }
             },
         };
+        self.calls += 1;
         let connection = &mut self.connections[id];
         request.write(&mut connection.stream.out);
-        connection.call = Some((token, deadline_us));
+        connection.call = Some(Call { token, deadline_us, number: self.calls });
         if connection.connected {
             // An error occurs again when the connection is read.
             let _ = connection.stream.flush();
@@ -110,6 +124,7 @@
             address,
             call: None,
             connected: false,
+            answered_at: 0,
         });
         let fwd =
             Fwd::to_actor(cx.this().clone(), move |this, cx, event| ready(this, cx, id, event));
@@ -158,6 +173,7 @@
             Ok(None) => ended.and_then(|fault| self.fail(id, fault)),
             Ok(Some((used, response))) => {
                 stream.rd += used;
+                connection.answered_at = self.calls;
                 let must_close = ended.is_some()
                     || response
                         .header("connection")
@@ -166,7 +182,7 @@
                 if must_close || call.is_none() {
                     self.connections.remove(id);
                 }
-                call.map(|(token, _)| (token, Ok(response)))
+                call.map(|call| (call.token, Ok(response)))
             }
             Err(error) => {
                 log::warn!(
@@ -180,36 +196,53 @@
 
     fn fail(&mut self, id: Id, fault: Fault) -> Option<Completion<T>> {
         let connection = self.connections.remove(id)?;
-        connection.call.map(|(token, _)| (token, Err(fault)))
+        connection.call.map(|call| (call.token, Err(fault)))
     }
 
     /// Returns the earliest deadline of a call, or `u64::MAX` if there is none.
     pub fn next_deadline(&self) -> u64 {
-        let deadlines = self.connections.values().filter_map(|connection| connection.call.as_ref());
-        deadlines.map(|(_, deadline_us)| *deadline_us).min().unwrap_or(u64::MAX)
+        let calls = self.connections.values().filter_map(|connection| connection.call.as_ref());
+        calls.map(|call| call.deadline_us).min().unwrap_or(u64::MAX)
     }
 
-    /// Ends the calls whose deadline has passed and closes their connections. An answer that has
-    /// arrived by now is still returned, since this process may itself be late in reading it.
+    /// Ends the calls whose deadline has passed and closes their connections, together with the idle
+    /// connections to the same address that may have gone silent too. An answer that has arrived by
+    /// now is still returned, since this process may itself be late in reading it.
     pub fn expire(&mut self, now_us: u64) -> Vec<Completion<T>> {
-        let expired = |connection: &Connection<T>| {
-            connection.call.as_ref().is_some_and(|(_, deadline_us)| *deadline_us <= now_us)
-        };
-        let ids: Vec<Id> = self
+        let expired: Vec<(Id, SocketAddr, u64)> = self
             .connections
             .iter()
-            .filter(|(_, connection)| expired(connection))
-            .map(|(id, _)| id)
+            .filter_map(|(id, connection)| {
+                let call = connection.call.as_ref().filter(|call| call.deadline_us <= now_us)?;
+                Some((id, connection.address, call.number))
+            })
             .collect();
-        ids.into_iter()
-            .filter_map(|id| self.read(id, false).or_else(|| self.fail(id, Fault::Unanswered)))
-            .collect()
+        let mut ended = Vec::with_capacity(expired.len());
+        for (id, address, number) in expired {
+            if let Some(completion) = self.read(id, false) {
+                ended.push(completion);
+                continue;
+            }
+            ended.extend(self.fail(id, Fault::Unanswered));
+            self.close_unproven(address, number);
+        }
+        ended
     }
 
-    /// Closes the idle connections to an address.
-    pub fn drop_idle(&mut self, address: SocketAddr) {
-        self.connections
-            .retain(|_, connection| connection.address != address || connection.call.is_some());
+    /// Closes the idle connections to an address on which nothing has been answered since the call
+    /// with this number was sent. What silenced its connection may have silenced them too, and each
+    /// would cost a retry its timeout.
+    fn close_unproven(&mut self, address: SocketAddr, number: u64) {
+        let before = self.connections.len();
+        self.connections.retain(|_, connection| {
+            connection.address != address
+                || connection.call.is_some()
+                || connection.answered_at >= number
+        });
+        let closed = before - self.connections.len();
+        if closed > 0 {
+            log::info!("event=connections_closed address={address} reason=silent count={closed}");
+        }
     }
 }
 
