Do not renew the upstream's lease while a stop is unanswered

The stop did not arrive, and the lease that ends the run in that case was renewed by each poll.

Cause: the lease covers all runs on an upstream, and polls and starts renewed it also for runs that were to end, of this sidecar process or of the one before. The sum of leases that a second submission rests on took for granted that a stop arrives.

Ruled out: runs that outlive the lease, and stops that are answered but not carried out.

The functions of the lease move to a module of their own, unchanged.

--- a/crates/bench/tests/runs.rs
+++ b/crates/bench/tests/runs.rs
@@ -202,6 +202,21 @@
     assert_eq!((outcome.overlaps, outcome.overfull), (0, 0));
 }
 
+/// Guards against a second run of a task that a caller submits again elsewhere while the stops of its
+/// first runs are left unanswered and the polls that renew the lease are answered.
+#[rstest]
+fn a_job_submitted_again_never_overlaps_runs_whose_stops_are_late(
+    #[values(1, 2, 3)] seed: u64,
+    #[values(0.5, 0.9)] share: f64,
+) {
+    let at_us = 4_000_000;
+    let arrivals = long_jobs();
+    let mut faults = vec![(at_us, Fault::Delay(share)), (at_us + 4_000_000, Fault::Delay(0.0))];
+    submit_again(&arrivals, at_us, &mut faults);
+    let (_, outcome) = World::open(SIZE, arrivals, faults, seed).run(TIME_US + TAIL_US);
+    assert_eq!((outcome.overlaps, outcome.overfull), (0, 0));
+}
+
 /// Guards against starts that were held up in a cut and take effect after it heals.
 #[rstest]
 fn starts_that_were_held_up_in_a_cut_start_nothing(
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 mod entry;
 mod evacuation;
+mod lease;
 mod order;
 mod poll;
 pub mod run;
@@ -150,6 +151,8 @@
     missed_polls: u32,
     /// Time by which the upstream has ended all runs unless the sidecar renews its lease.
     lease_end_us: u64,
+    /// Latest deadline sent to this incarnation, in milliseconds on its clock.
+    deadline_ms: u64,
     runs: SlotMap<run::Key, Run>,
     /// Runs that the upstream lists but this sidecar did not start, by task and attempt, and the
     /// time at which a stop was last sent for each.
@@ -193,6 +196,7 @@
             poll_sent_us: 0,
             missed_polls: 0,
             lease_end_us: 0,
+            deadline_ms: 0,
             runs: SlotMap::with_key(),
             unknown_runs: BTreeMap::new(),
             unanswered_starts: Vec::new(),
@@ -329,6 +333,7 @@
         self.profile = None;
         self.clock = Clock::default();
         self.last_end = 0;
+        self.deadline_ms = 0;
         self.unknown_runs.clear();
         for key in self.runs.keys().collect::<Vec<_>>() {
             let run = &self.runs[key];
@@ -344,14 +349,6 @@
         self.poll_due_us = now_us;
     }
 
-    /// Records that the upstream may have restarted: a call was not answered, or an answer has the
-    /// clock of another incarnation. Until an answer shows which incarnation it is, nothing starts
-    /// and no lease is renewed.
-    fn doubt_incarnation(&mut self, now_us: u64) {
-        self.in_doubt = true;
-        self.extend_lease(MAX_UPSTREAM_LEASE_US, now_us);
-    }
-
     /// Records the clock of an answer, which tells whether it is that of the known incarnation: the
     /// clock of a later one started later and is behind.
     fn record_clock(&mut self, clock_ms: u64, now_us: u64) {
@@ -365,29 +362,6 @@
         }
     }
 
-    /// Ends runs that use capacity as lost, if they match. To be called only when the upstream has
-    /// certainly ended them.
-    fn mark_lost(&mut self, matches: impl Fn(&Run) -> bool, now_us: u64) {
-        let is_lost = |run: &Run| run.uses_capacity() && matches(run);
-        let keys: Vec<run::Key> =
-            self.runs.iter().filter(|(_, run)| is_lost(run)).map(|(key, _)| key).collect();
-        for key in keys {
-            self.end_run(key, Outcome::Lost, now_us);
-        }
-    }
-
-    /// Ends the runs of an upstream that does not answer and whose lease has expired. One that may
-    /// start late ends only when its start can no longer be carried out, as a deadline on the clock
-    /// of an earlier incarnation does not prevent this.
-    fn expire_lease(&mut self, now_us: u64) {
-        if self.missed_polls == 0 || now_us < self.lease_end_us {
-            return;
-        }
-        let may_start = now_us < self.lease_end_us + MAX_ORDER_DELAY_US;
-        self.mark_lost(|run| !may_start || !run.may_start_late(), now_us);
-        self.phase = Phase::Unknown;
-    }
-
     /// Handles expired leases and waits, and repeats unanswered stops.
     fn expire(&mut self, now_us: u64) {
         self.expire_lease(now_us);
--- a/crates/dispatch/src/worker/order.rs
+++ b/crates/dispatch/src/worker/order.rs
@@ -6,7 +6,7 @@
     entry::Entry,
     run::{self, Outcome, Run, Start, State},
     Phase, Supervisor, ENTRY_LEASE_US, MAX_FENCE, MAX_ORDER_TIMEOUT_US, MAX_START_TRIES,
-    ORDER_TIMEOUT_US, SLOW_CLOCK_PERMILLE, STOP_RETRY_US, STOP_US, UPSTREAM_LEASE_US,
+    ORDER_TIMEOUT_US, STOP_RETRY_US,
 };
 
 impl Supervisor {
@@ -203,30 +203,23 @@
         self.runs.values().any(|run| run.uses_capacity() && run.task == *task)
     }
 
-    /// Sends a start, which also extends the sidecar's lease at the upstream.
+    /// Sends a start, which also renews the sidecar's lease at the upstream. Does nothing if the lease
+    /// cannot be renewed and is about to expire.
     fn send_start(&mut self, key: run::Key, tries: u32, now_us: u64) {
-        let Some(clock_ms) = self.clock.at_ms(now_us) else { return };
-        self.extend_lease(UPSTREAM_LEASE_US, now_us);
+        let Some(deadline_ms) = self.start_deadline_ms(now_us) else { return };
         let Some(run) = self.runs.get_mut(key) else { return };
         run.state = State::Starting { tries };
         let order = Order::Start {
             task: run.task.clone(),
             attempt: run.attempt,
             spec: run.spec.clone(),
-            deadline_ms: clock_ms + UPSTREAM_LEASE_US / 1000,
+            deadline_ms,
             fence: self.fence,
         };
         let timeout_us = (ORDER_TIMEOUT_US << (tries - 1)).min(MAX_ORDER_TIMEOUT_US);
         self.effects.push(Effect::Order { key, order, timeout_us });
     }
 
-    /// Records the latest time by which the upstream has ended all runs if it receives nothing
-    /// more: after a lease from now, measured by a slow clock, and the time to stop the runs.
-    pub(super) fn extend_lease(&mut self, lease_us: u64, now_us: u64) {
-        let drift_us = lease_us * SLOW_CLOCK_PERMILLE / 1000;
-        self.lease_end_us = self.lease_end_us.max(now_us + lease_us + drift_us + STOP_US);
-    }
-
     /// Stops a run, or refuses it if its start has not been sent.
     pub(super) fn stop_run(&mut self, key: run::Key, reason: Reason, now_us: u64) {
         let Some(run) = self.runs.get(key) else { return };
--- a/crates/dispatch/src/worker/poll.rs
+++ b/crates/dispatch/src/worker/poll.rs
@@ -6,7 +6,6 @@
     action::Effect,
     run::{self, Outcome, State},
     Phase, Reply, Supervisor, IDLE_POLL_WAIT_MS, POLL_RETRY_US, POLL_WAIT_MS, STOP_RETRY_US,
-    UPSTREAM_LEASE_US,
 };
 
 /// Time between two polls while unknown runs are being stopped, in microseconds.
@@ -37,11 +36,9 @@
         self.poll_number += 1;
         let idle = self.runs.values().all(|run| !run.uses_capacity());
         let is_known = self.phase != Phase::Unknown && !self.in_doubt;
-        let clock_ms = self.clock.at_ms(now_us).filter(|_| is_known);
-        self.poll_renews = clock_ms.is_some();
-        if self.poll_renews {
-            self.extend_lease(UPSTREAM_LEASE_US, now_us);
-        }
+        let may_renew = is_known && !self.has_unanswered_stop();
+        let deadline_ms = if may_renew { self.renew_lease(now_us) } else { None };
+        self.poll_renews = deadline_ms.is_some();
         self.poll_wait_ms = match (self.phase, idle) {
             (Phase::Known, true) if is_known => IDLE_POLL_WAIT_MS,
             (Phase::Known, false) if is_known => POLL_WAIT_MS,
@@ -49,7 +46,7 @@
         };
         self.effects.push(Effect::Poll {
             number: self.poll_number,
-            deadline_ms: clock_ms.map(|clock_ms| clock_ms + UPSTREAM_LEASE_US / 1000),
+            deadline_ms,
             fence: self.fence,
             last_end: self.last_end,
             wait_ms: self.poll_wait_ms,
