Ignore late bytes of an ended sidecar's connection

The first entry did not use the sidecar again while its connection lasted.

Cause: the first packet of the killed process's connection had been lost once, so its greeting, its list of runs and its end arrived after the greeting and list of its successor. The entry took the process whose list came last for the newer one, and was left without a connection to the sidecar: it could send no stop, and still renewed its lease on the connection in use.

Evidence: two greeted lines 94 ms apart, the later incarnation first, and no stop of the overlapping runs in the sidecar's log. Ruled out: an expired lease (the runs end done), lost stops, refused starts.

Change: an entry numbers the connections that it accepts, and a list counts only on the newest one of a sidecar's name. The list answers the entry's greeting on the same connection, so an ended process cannot have sent one on a newer connection. Incarnations follow the time of day, which may be set back, and do not decide. Once a list counts, older connections of that sidecar are closed, and a profile removes only workers of older connections: a late profile of the ended process removed its successor. greeted and connection_overtaken name the connection.

The proxy of the tests can delay one direction only, as the list is an answer.

Before: both cases of late_bytes_of_an_ended_sidecar_process..., a_late_profile_of_an_ended_sidecar... and late_bytes_of_a_killed_sidecar... fail. a_sidecar_that_restarts_with_an_earlier_time_of_day... passed before too; it guards against ordering by incarnation.

--- a/crates/dispatch/src/plan/worker.rs
+++ b/crates/dispatch/src/plan/worker.rs
@@ -54,7 +54,8 @@
 pub(super) struct Member {
     pub name: Arc<str>,
     pub incarnation: u64,
-    pub generation: u64,
+    /// Number of the newest connection.
+    pub connection: u64,
     pub profile: Profile,
     /// Number of its place.
     pub place: Option<usize>,
@@ -192,31 +193,34 @@
 
 impl Planner {
     /// Handles a new connection to a sidecar. `held` lists the runs of this entry that the sidecar
-    /// has; all other runs that were sent there are lost. `generation` grows with each connection
-    /// of one incarnation. Returns `None` and changes nothing if a newer connection is known, as a
-    /// list that was delayed on an older one lacks runs that were sent later.
+    /// has; all other runs that were sent there are lost. `connection` grows with each connection
+    /// that this entry accepts. Returns `None` and changes nothing if a newer connection is known, as
+    /// a list that was delayed on an older one lacks runs that were sent later.
+    ///
+    /// A sidecar sends its list after it has heard from this entry on the same connection. So an
+    /// incarnation that had ended before a newer connection was accepted has sent its list on an
+    /// older one. The order in which lists arrive and the order of the incarnations, which follow the
+    /// time of day, do not tell which incarnation is the newer one.
     pub fn connected(
         &mut self,
         name: &str,
         incarnation: u64,
-        generation: u64,
+        connection: u64,
         held: &[u64],
         now_us: u64,
     ) -> Option<Worker> {
-        let old: Vec<Worker> = self
+        let same_name: Vec<Worker> = self
             .workers
             .iter()
-            .filter(|(_, member)| *member.name == *name && member.incarnation != incarnation)
+            .filter(|(_, member)| *member.name == *name)
             .map(|(key, _)| key)
             .collect();
-        let known = self
-            .workers
-            .iter()
-            .find(|(_, member)| *member.name == *name && member.incarnation == incarnation);
-        let known = known.map(|(key, _)| key);
-        if known.is_some_and(|key| self.workers[key].generation > generation) {
+        if same_name.iter().any(|key| self.workers[*key].connection > connection) {
             return None;
         }
+        let (known, old): (Vec<Worker>, Vec<Worker>) =
+            same_name.into_iter().partition(|key| self.workers[*key].incarnation == incarnation);
+        let known = known.first().copied();
         if known.is_none() {
             self.extend_settling(now_us);
         }
@@ -224,7 +228,7 @@
             self.workers.insert(Member {
                 name: name.into(),
                 incarnation,
-                generation,
+                connection,
                 profile: Profile::default(),
                 place: None,
                 load: Load::default(),
@@ -249,7 +253,7 @@
         }
         let member = &mut self.workers[key];
         member.connected = true;
-        member.generation = generation;
+        member.connection = connection;
         member.expires_us = None;
         member.unreported.clear();
         // Starts that were decided for the previous connection but not sent yet are discarded.
@@ -299,6 +303,7 @@
     pub fn profile(&mut self, worker: Worker, profile: Profile, now_us: u64) {
         let Some(member) = self.workers.get_mut(worker) else { return };
         let name = member.name.clone();
+        let connection = member.connection;
         let accepting = profile.ready;
         member.evacuated = self.evacuations.contains(&profile.zone);
         let service = profile.service.clone();
@@ -312,6 +317,7 @@
                 .workers
                 .iter()
                 .filter(|(key, member)| *key != worker && member.name == name)
+                .filter(|(_, member)| member.connection < connection)
                 .map(|(key, _)| key)
                 .collect();
             for key in old {
--- a/crates/dispatch/tests/plan.rs
+++ b/crates/dispatch/tests/plan.rs
@@ -20,6 +20,12 @@
 fn connect(planner: &mut Planner, index: usize) -> Worker {
     let worker = planner.connected(&format!("sidecar-{index}"), 1, 1, &[], NOW_US);
     let worker = worker.expect("the first connection is the newest");
+    accept(planner, worker);
+    worker
+}
+
+/// Lets a worker accept work, all of whose capacity is free.
+fn accept(planner: &mut Planner, worker: Worker) {
     let profile = Profile {
         name: "upstream".into(),
         service: "service".into(),
@@ -34,7 +40,6 @@
         Load { free_cores: CORES, free_memory_mb: 1_000, ..Load::default() },
         NOW_US,
     );
-    worker
 }
 
 fn submission(id: &str, tasks: u16) -> Submission {
@@ -282,6 +287,56 @@
     assert!(take_starts(&mut planner).is_empty());
 }
 
+/// Guards against bytes of an ended sidecar process that arrive after its successor has connected: the
+/// entry would take the successor for the old process, start its runs elsewhere while they go on, and
+/// use it no more. The incarnations are ordered by the time of day, which may have been set back.
+#[rstest]
+#[case::in_order(1, 2)]
+#[case::clock_set_back(2, 1)]
+fn late_bytes_of_an_ended_sidecar_process_do_not_displace_its_successor(
+    #[case] ended: u64,
+    #[case] successor: u64,
+) {
+    let mut planner = Planner::open(1);
+    let worker = planner.connected("sidecar-0", successor, 2, &[], NOW_US).expect("it is new");
+    accept(&mut planner, worker);
+    planner.submit(submission("a", 1), NOW_US);
+    assert_eq!(take_starts(&mut planner).len(), 1);
+    let late_us = NOW_US + 100_000;
+    assert!(planner.connected("sidecar-0", ended, 1, &[], late_us).is_none());
+    for step in 1..=2 {
+        planner.tick(late_us + step * RUN_EXPIRY_US);
+    }
+    assert!(take_starts(&mut planner).is_empty(), "the run goes on");
+    planner.submit(submission("b", 1), late_us);
+    assert_eq!(take_starts(&mut planner).len(), 1, "the worker is still used");
+}
+
+/// Guards against a profile of an ended sidecar process that arrives after its successor has connected:
+/// the entry would remove the successor instead of the ended process.
+#[test]
+fn a_late_profile_of_an_ended_sidecar_process_does_not_remove_its_successor() {
+    let mut planner = Planner::open(1);
+    let ended = planner.connected("sidecar-0", 1, 1, &[], NOW_US).expect("it is new");
+    let successor = planner.connected("sidecar-0", 2, 2, &[], NOW_US).expect("it is newer");
+    accept(&mut planner, ended);
+    accept(&mut planner, successor);
+    planner.submit(submission("a", 1), NOW_US);
+    assert_eq!(take_starts(&mut planner).first().map(|(worker, _)| *worker), Some(successor));
+}
+
+/// Guards against a sidecar that is not used after its restart because the time of day was set back.
+#[test]
+fn a_sidecar_that_restarts_with_an_earlier_time_of_day_replaces_its_earlier_process() {
+    let mut planner = Planner::open(1);
+    let ended = planner.connected("sidecar-0", 2, 1, &[], NOW_US).expect("it is new");
+    accept(&mut planner, ended);
+    let successor = planner.connected("sidecar-0", 1, 2, &[], NOW_US).expect("it is newer");
+    accept(&mut planner, successor);
+    planner.submit(submission("a", 1), NOW_US);
+    assert_eq!(take_starts(&mut planner).first().map(|(worker, _)| *worker), Some(successor));
+}
+
 /// Guards against two starts of a task on a new connection: one that was decided for the previous
 /// connection but not sent, and the one that replaces it.
 #[test]
--- a/crates/node/src/runs/entry.rs
+++ b/crates/node/src/runs/entry.rs
@@ -117,13 +117,14 @@
 /// The process at the other end of a link.
 #[derive(Debug)]
 enum Peer {
-    /// It has sent no greeting yet.
-    Unknown,
+    /// It has sent no greeting yet. `connection` is the number of the connection among those that
+    /// this entry has accepted, or 0 if it has opened it.
+    Unknown { connection: u64 },
     /// A sidecar, with its worker in the planner once it has sent its list of held runs.
     Sidecar {
         name: String,
         incarnation: u64,
-        generation: u64,
+        connection: u64,
         worker: Option<Worker>,
         grant: u64,
         renewed_us: u64,
@@ -161,6 +162,8 @@
     timer: MinTimerKey,
     /// Whether sidecars were told that jobs wait for capacity here.
     announced_waiting: bool,
+    /// Number of connections accepted so far.
+    accepted: u64,
     /// Time at which the end of the last long suspension was noticed, in microseconds; 0 if there
     /// was none.
     resumed_us: u64,
@@ -257,6 +260,7 @@
             incarnation,
             timer: MinTimerKey::default(),
             announced_waiting: false,
+            accepted: 0,
             resumed_us: 0,
             last_submission_us: 0,
             peers_due_us: now_us,
@@ -302,7 +306,7 @@
         for address in self.mesh.due(now_us) {
             let link = self.links.dial(cx, address, now_us, Self::link_ready);
             if let Some(link) = self.mesh.dialled(address, link, now_us) {
-                self.peers.insert(link, Peer::Unknown);
+                self.peers.insert(link, Peer::Unknown { connection: 0 });
                 self.send_greeting(link);
             }
         }
--- a/crates/node/src/runs/entry/config.rs
+++ b/crates/node/src/runs/entry/config.rs
@@ -113,7 +113,7 @@
     pub(super) fn announce_config(&mut self) {
         let version = self.document.version();
         for (link, peer) in &self.peers {
-            if !matches!(peer, Peer::Unknown) {
+            if !matches!(peer, Peer::Unknown { .. }) {
                 self.links.send(*link, &Frame::Run(Message::Version(version)));
             }
         }
--- a/crates/node/src/runs/entry/links.rs
+++ b/crates/node/src/runs/entry/links.rs
@@ -60,7 +60,7 @@
         };
         for (link, peer) in &self.peers {
             let receives = match peer {
-                Peer::Unknown => false,
+                Peer::Unknown { .. } => false,
                 Peer::Sidecar { .. } => is_due,
                 Peer::Entry { .. } => true,
             };
@@ -113,7 +113,7 @@
                 log::info!("event=entry_lost entry={name} reason={reason}");
                 self.cancels.lost(link, now_us);
             }
-            Some(Peer::Unknown) | None => {}
+            Some(Peer::Unknown { .. }) | None => {}
         }
     }
 
@@ -122,7 +122,8 @@
         while let Ok((stream, address)) = self.listener.accept() {
             match self.links.accept(cx, stream, address, now_us, Self::link_ready) {
                 Ok(link) => {
-                    self.peers.insert(link, Peer::Unknown);
+                    self.accepted += 1;
+                    self.peers.insert(link, Peer::Unknown { connection: self.accepted });
                     self.send_greeting(link);
                 }
                 Err(error) => log::warn!("event=accept_failed peer={address} error={error:?}"),
@@ -152,21 +153,27 @@
             let Frame::Run(message) = frame else { return false };
             let Some(peer) = self.peers.get_mut(&link) else { return false };
             match (message, peer) {
-                (Message::Greeting(greeting), Peer::Unknown) => {
-                    self.register_peer(link, &greeting, now_us);
+                (Message::Greeting(greeting), Peer::Unknown { connection }) => {
+                    let connection = *connection;
+                    self.register_peer(link, connection, &greeting, now_us);
                 }
                 (
                     Message::Held(held),
-                    Peer::Sidecar { name, incarnation, generation, worker, .. },
+                    Peer::Sidecar { name, incarnation, connection, worker, .. },
                 ) => {
                     let connected =
-                        self.planner.connected(name, *incarnation, *generation, &held, now_us);
+                        self.planner.connected(name, *incarnation, *connection, &held, now_us);
                     let Some(key) = connected else {
-                        log::info!("event=connection_overtaken sidecar={name}");
+                        log::info!(
+                            "event=connection_overtaken sidecar={name} \
+                             incarnation={incarnation:x} connection={connection}"
+                        );
                         return false;
                     };
                     *worker = Some(key);
+                    let name = name.clone();
                     self.link_by_worker.insert(key, link);
+                    self.close_overtaken(link, &name, now_us);
                     if self.announced_waiting {
                         self.links.send(link, &Frame::Run(Message::Waiting(true)));
                     }
@@ -244,13 +251,36 @@
         true
     }
 
+    /// Closes the other links to a sidecar, which are older than this one, so that nothing that still
+    /// arrives on them replaces what the sidecar has sent here.
+    fn close_overtaken(&mut self, newest: Id, name: &str, now_us: u64) {
+        let mut older = Vec::new();
+        for (link, peer) in &self.peers {
+            let Peer::Sidecar { name: other, worker: Some(_), .. } = peer else { continue };
+            if other == name && *link != newest {
+                older.push(*link);
+            }
+        }
+        for link in older {
+            self.close(link, "overtaken", now_us);
+        }
+    }
+
     /// Registers the process on a link by its greeting.
-    fn register_peer(&mut self, link: Id, greeting: &run::Greeting<'_>, now_us: u64) {
+    fn register_peer(
+        &mut self,
+        link: Id,
+        connection: u64,
+        greeting: &run::Greeting<'_>,
+        now_us: u64,
+    ) {
         let name = greeting.name.to_owned();
         log::info!(
-            "event=greeted peer={name} role={:?} incarnation={:x} config={}",
+            "event=greeted peer={name} role={:?} incarnation={:x} generation={} connection={connection} \
+             config={}",
             greeting.role,
             greeting.incarnation,
+            greeting.generation,
             greeting.config
         );
         let peer = match greeting.role {
@@ -261,7 +291,7 @@
                 Peer::Sidecar {
                     name,
                     incarnation: greeting.incarnation,
-                    generation: greeting.generation,
+                    connection,
                     worker: None,
                     grant: 0,
                     renewed_us: 0,
--- a/crates/standin/src/proxy/fault.rs
+++ b/crates/standin/src/proxy/fault.rs
@@ -50,6 +50,8 @@
     /// Direction in which nothing is forwarded: datagrams are lost, and streams are held back
     /// until the fault is cleared, as with retransmission.
     pub one_way: Option<Side>,
+    /// Only direction in which chunks of streams are delayed; both if absent.
+    pub delay_side: Option<Side>,
 }
 
 /// Result of the draw for one chunk or datagram.
--- a/crates/standin/src/proxy/stream.rs
+++ b/crates/standin/src/proxy/stream.rs
@@ -5,7 +5,7 @@
     io::{self, Read, Write},
     net::Shutdown,
     os::fd::AsRawFd,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use fastrand::Rng;
@@ -88,7 +88,7 @@
         }
         let Self { client, target, to_target, to_client, .. } = self;
         let (client, target) = (&*client, &*target);
-        let mut context = Context { now, faults, rng, counts };
+        let mut context = Context { now, faults, side: Side::ToTarget, rng, counts };
         let directions = [
             (client, target, to_target, Side::ToTarget),
             (target, client, to_client, Side::ToClient),
@@ -97,6 +97,7 @@
             if faults.one_way == Some(side) {
                 continue;
             }
+            context.side = side;
             match forward(from, to, half, &mut context) {
                 Ok(()) => {}
                 Err(error) if error.kind() == io::ErrorKind::NotConnected => {}
@@ -131,6 +132,8 @@
 struct Context<'a> {
     now: Instant,
     faults: &'a Faults,
+    /// Direction that is being forwarded.
+    side: Side,
     rng: &'a mut Rng,
     counts: &'a mut Counts,
 }
@@ -185,8 +188,10 @@
         counts.damaged += 1;
         flip_bit(&mut bytes, context.rng);
     }
-    counts.delayed += u64::from(!draw.delay.is_zero());
-    let due = context.now + draw.delay;
+    let is_delayed = context.faults.delay_side.is_none_or(|side| side == context.side);
+    let delay = if is_delayed { draw.delay } else { Duration::ZERO };
+    counts.delayed += u64::from(!delay.is_zero());
+    let due = context.now + delay;
     if draw.duplicate {
         counts.duplicated += 1;
         half.queue.push_back(Chunk { due, bytes: bytes.clone(), sent: 0 });
--- a/crates/standin/tests/proxy.rs
+++ b/crates/standin/tests/proxy.rs
@@ -173,7 +173,7 @@
 fn damage_flips_one_bit_in_each_direction() {
     let proxy = start();
     let rates = Rates { damage: 1.0, ..Rates::default() };
-    proxy.set_faults(Faults { tcp: rates, udp: rates, one_way: None });
+    proxy.set_faults(Faults { tcp: rates, udp: rates, ..Faults::default() });
     let sent = [0; 1000];
     let client = datagram_client(&proxy);
     client.send(&sent).unwrap();
@@ -188,7 +188,7 @@
 fn duplicates_are_forwarded_twice() {
     let proxy = start();
     let rates = Rates { duplicate: 1.0, ..Rates::default() };
-    proxy.set_faults(Faults { tcp: rates, udp: rates, one_way: None });
+    proxy.set_faults(Faults { tcp: rates, udp: rates, ..Faults::default() });
     let client = datagram_client(&proxy);
     client.send(b"twice").unwrap();
     for _ in 0..4 {
--- a/crates/wire/src/run.rs
+++ b/crates/wire/src/run.rs
@@ -91,7 +91,7 @@
     pub zone: &'a str,
     /// Identifies one execution of the sender's process; changes with every restart.
     pub incarnation: u64,
-    /// Increases with every connection that one incarnation of the sender opens.
+    /// Increases with every connection that one incarnation of the sender opens. For logs only.
     pub generation: u64,
     /// Version of the sender's configuration; 0 if it has none.
     pub config: u64,
