Use an upstream again whose lease expired under an unanswered stop

A stop that is never answered held back the lease for good, so that starts waited at that upstream for their longest wait and were then refused, after its runs had ended with the lease.

Change: a stopped run that a poll after the end of the lease does not list has ended; one that may start late still waits for that, as on a silent upstream. While the lease cannot be renewed and is about to expire, the sidecar accepts no starts, so that they go elsewhere at once.

Before: an_upstream_whose_runs_have_expired_is_used_again counts one run instead of none, and starts_are_refused_at_once_when_the_lease_is_about_to_expire finds that starts are accepted. After: both pass.

--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -153,6 +153,8 @@
     lease_end_us: u64,
     /// Latest deadline sent to this incarnation, in milliseconds on its clock.
     deadline_ms: u64,
+    /// Whether the lease could not be renewed at the last event and was about to expire.
+    lease_expiring: bool,
     runs: SlotMap<run::Key, Run>,
     /// Runs that the upstream lists but this sidecar did not start, by task and attempt, and the
     /// time at which a stop was last sent for each.
@@ -197,6 +199,7 @@
             missed_polls: 0,
             lease_end_us: 0,
             deadline_ms: 0,
+            lease_expiring: false,
             runs: SlotMap::with_key(),
             unknown_runs: BTreeMap::new(),
             unanswered_starts: Vec::new(),
@@ -265,6 +268,7 @@
             && !self.evacuated
             && self.phase == Phase::Known
             && self.missed_polls < MISSED_POLL_LIMIT
+            && !self.lease_expiring
     }
 
     /// Returns the upstream's last report, with `ready` set to whether starts are accepted.
@@ -391,6 +395,7 @@
     /// Queues what follows from a change of state: refusals, starts, a poll, grants and a notice
     /// that the profile changed.
     fn update(&mut self, now_us: u64) {
+        self.lease_expiring = self.is_lease_expiring(now_us);
         if !self.is_accepting() {
             self.refuse_waiting();
         }
--- a/crates/dispatch/src/worker/lease.rs
+++ b/crates/dispatch/src/worker/lease.rs
@@ -2,8 +2,7 @@
 
 use super::{
     run::{self, Outcome, Run, State},
-    Phase, Supervisor, MAX_ORDER_DELAY_US, MAX_UPSTREAM_LEASE_US, SLOW_CLOCK_PERMILLE, STOP_US,
-    UPSTREAM_LEASE_US,
+    Phase, Supervisor, MAX_UPSTREAM_LEASE_US, SLOW_CLOCK_PERMILLE, STOP_US, UPSTREAM_LEASE_US,
 };
 
 /// Shortest remaining lease with which a start is sent while the lease cannot be renewed, in
@@ -34,8 +33,13 @@
         if !self.has_unanswered_stop() {
             return self.renew_lease(now_us);
         }
-        let earliest_ms = self.clock.at_ms(now_us)? + MIN_START_LEASE_MS;
-        Some(self.deadline_ms).filter(|deadline_ms| *deadline_ms >= earliest_ms)
+        (!self.is_lease_expiring(now_us)).then_some(self.deadline_ms)
+    }
+
+    /// Returns whether the lease cannot be renewed and is about to expire, or has expired.
+    pub(super) fn is_lease_expiring(&self, now_us: u64) -> bool {
+        let is_near = |clock_ms| self.deadline_ms < clock_ms + MIN_START_LEASE_MS;
+        self.has_unanswered_stop() && self.clock.at_ms(now_us).is_none_or(is_near)
     }
 
     /// Records the latest time by which the upstream has ended all runs if it receives nothing
@@ -64,15 +68,13 @@
         }
     }
 
-    /// Ends the runs of an upstream that does not answer and whose lease has expired. One that may
-    /// start late ends only when its start can no longer be carried out, as a deadline on the clock
-    /// of an earlier incarnation does not prevent this.
+    /// Ends the runs of an upstream that does not answer and whose lease has expired.
     pub(super) fn expire_lease(&mut self, now_us: u64) {
-        if self.missed_polls == 0 || now_us < self.lease_end_us {
+        let lease_end_us = self.lease_end_us;
+        if self.missed_polls == 0 || now_us < lease_end_us {
             return;
         }
-        let may_start = now_us < self.lease_end_us + MAX_ORDER_DELAY_US;
-        self.mark_lost(|run| !may_start || !run.may_start_late(), now_us);
+        self.mark_lost(|run| run.has_expired(lease_end_us, now_us), now_us);
         self.phase = Phase::Unknown;
     }
 }
--- a/crates/dispatch/src/worker/order.rs
+++ b/crates/dispatch/src/worker/order.rs
@@ -262,13 +262,17 @@
     }
 
     /// Ends the runs that the answer to a poll does not list, if the poll was sent after the
-    /// upstream had confirmed their start or stop.
+    /// upstream had confirmed their start or stop, or after the lease had expired.
     pub(super) fn end_unlisted(&mut self, number: u64, listed: &[run::Key], now_us: u64) {
+        let has_expired = |run: &Run| run.has_expired(self.lease_end_us, self.poll_sent_us);
         let ended: Vec<(run::Key, Outcome)> = self
             .runs
             .iter()
             .filter(|(key, _)| !listed.contains(key))
             .filter_map(|(key, run)| match run.state {
+                State::Stopping { last_poll: None, .. } if has_expired(run) => {
+                    Some((key, Outcome::Lost))
+                }
                 State::Running { last_poll } if last_poll < number => Some((key, Outcome::Lost)),
                 State::Stopping { last_poll: Some(last_poll), .. } if last_poll < number => {
                     Some((key, Outcome::Stopped))
--- a/crates/dispatch/src/worker/run.rs
+++ b/crates/dispatch/src/worker/run.rs
@@ -4,7 +4,7 @@
 
 use slotmap::new_key_type;
 
-use super::{entry::Entry, STOP_RETRY_US};
+use super::{entry::Entry, MAX_ORDER_DELAY_US, STOP_RETRY_US};
 
 new_key_type! {
     /// Identifies a run at its sidecar.
@@ -121,6 +121,14 @@
         self.has_unanswered_start || matches!(self.state, State::Starting { .. })
     }
 
+    /// Returns whether the run has ended at a time, if the upstream ended all runs at `lease_end_us`. One
+    /// that may start late has not until its start can no longer be carried out, as a deadline on the
+    /// clock of an earlier incarnation does not prevent this.
+    pub fn has_expired(&self, lease_end_us: u64, at_us: u64) -> bool {
+        let delay_us = if self.may_start_late() { MAX_ORDER_DELAY_US } else { 0 };
+        lease_end_us + delay_us <= at_us
+    }
+
     /// Returns the time at which the run ends if it continues at its average rate so far; `None`
     /// before any progress.
     pub fn expected_end_us(&self) -> Option<u64> {
--- a/crates/dispatch/tests/unanswered_stop.rs
+++ b/crates/dispatch/tests/unanswered_stop.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use kingcup_dispatch::worker::{
-    Effect, Entry, Listing, Order, Profile, Reply, Start, Supervisor, UPSTREAM_LEASE_US,
+    Effect, Entry, Listing, Order, Profile, Reason, Reply, Start, Supervisor, UPSTREAM_LEASE_US,
 };
 use rstest::rstest;
 
@@ -25,6 +25,9 @@
     /// Stops that wait for their timeout, with the time at which they were sent.
     stops: Vec<(Effect, u64)>,
     answers_stops: bool,
+    /// Whether the upstream ends its runs with the lease.
+    holds_lease: bool,
+    refused: Vec<Reason>,
     /// Latest deadline that a call has named, in milliseconds on the upstream's clock.
     deadline_ms: u64,
     started: usize,
@@ -69,6 +72,8 @@
         running,
         stops: Vec::new(),
         answers_stops: false,
+        holds_lease: false,
+        refused: Vec::new(),
         deadline_ms: 0,
         started: 0,
     }
@@ -84,6 +89,9 @@
                 self.supervisor.renew(self.entry, self.now_us);
             }
             self.fail_stops();
+            if self.holds_lease && clock_ms(self.now_us) >= self.deadline_ms {
+                self.running.clear();
+            }
             self.supervisor.tick(self.now_us);
             for effect in self.supervisor.drain() {
                 self.handle(effect);
@@ -124,6 +132,7 @@
                 self.running.retain(|(running, _, _)| running != task);
                 self.supervisor.replied(key, &order, Reply::Done, Some(clock), self.now_us);
             }
+            Effect::Refused { reason, .. } => self.refused.push(reason),
             stop @ Effect::Order { .. } => self.stops.push((stop, self.now_us)),
             _ => {}
         }
@@ -185,3 +194,39 @@
     let expected_ms = clock_ms(upstream.now_us) + UPSTREAM_LEASE_US / 1000;
     assert!(upstream.deadline_ms + 100 > expected_ms, "{} < {expected_ms}", upstream.deadline_ms);
 }
+
+/// Guards against starts that wait at an upstream whose lease is about to expire, instead of going
+/// elsewhere at once.
+#[test]
+fn starts_are_refused_at_once_when_the_lease_is_about_to_expire() {
+    let mut upstream = open(&[]);
+    upstream.run_for(10 * STEP_US, true);
+    upstream.start(1);
+    upstream.run_for(100_000, true);
+    upstream.supervisor.stop(upstream.entry, 1, upstream.now_us);
+    upstream.run_for(500_000, true);
+    assert!(!upstream.supervisor.is_accepting());
+    upstream.start(2);
+    upstream.run_for(STEP_US, true);
+    assert_eq!(upstream.refused, [Reason::NotAccepting]);
+}
+
+/// Guards against an upstream that gets no more work because a stop is never answered, although its
+/// run has ended with the lease.
+#[test]
+fn an_upstream_whose_runs_have_expired_is_used_again() {
+    let mut upstream = open(&[]);
+    upstream.holds_lease = true;
+    upstream.run_for(10 * STEP_US, true);
+    upstream.start(1);
+    upstream.run_for(100_000, true);
+    upstream.supervisor.stop(upstream.entry, 1, upstream.now_us);
+    upstream.run_for(UPSTREAM_LEASE_US, true);
+    assert_eq!(upstream.supervisor.running(), 1, "it may not have ended yet");
+    upstream.run_for(300_000, true);
+    assert_eq!(upstream.supervisor.running(), 0);
+    assert!(upstream.supervisor.is_accepting());
+    upstream.start(2);
+    upstream.run_for(STEP_US, true);
+    assert_eq!(upstream.started, 2);
+}
