Keep idle connections that work when single calls are left unanswered

What callers saw: nothing; a cost.

Change: idle connections are closed after the second unanswered call, and not if a call in between was answered on a connection that had been idle. A call takes any idle connection again, as before the fix.

--- a/crates/node/src/web/client.rs
+++ b/crates/node/src/web/client.rs
@@ -48,8 +48,27 @@
     address: SocketAddr,
     call: Option<Call<T>>,
     connected: bool,
-    /// Number of the newest call of the pool when the last answer arrived here.
-    answered_at: u64,
+    /// Last answer on this connection; before the first, its opening counts as one.
+    last_answer: Answered,
+}
+
+/// An answer, in numbers of calls of the pool.
+#[derive(Debug, Clone, Copy, Default)]
+struct Answered {
+    /// Call that was answered.
+    call: u64,
+    /// Newest call when the answer arrived.
+    newest: u64,
+    /// Newest call when the answer before it arrived on the same connection.
+    previous: u64,
+}
+
+impl Answered {
+    /// Returns whether a call that was sent after this one was answered on a connection that had not
+    /// answered since, so that its connection works although it had been idle.
+    fn shows_alive(&self, unanswered: u64) -> bool {
+        self.call > unanswered && self.previous < unanswered
+    }
 }
 
 /// Pool of connections to other processes. Each connection carries one call at a time.
@@ -58,16 +77,18 @@
     limits: Limits,
     /// Number of calls sent so far.
     calls: u64,
+    /// Address and number of an unanswered call since which no idle connection has shown to be alive.
+    suspected: Option<(SocketAddr, u64)>,
 }
 
 impl<T> Client<T> {
     /// Creates an empty pool.
     pub fn open(limits: Limits) -> Self {
-        Self { connections: SlotMap::with_key(), limits, calls: 0 }
+        Self { connections: SlotMap::with_key(), limits, calls: 0, suspected: None }
     }
 
-    /// Sends a request on the idle connection that answered last, or on a new one. `ready` or
-    /// `expire` later returns the end of the call, with `token`.
+    /// Sends a request on an idle connection or a new one. `ready` or `expire` later returns the
+    /// end of the call, with `token`.
     ///
     /// # Errors
     ///
@@ -84,10 +105,9 @@
         let idle = self
             .connections
             .iter()
-            .filter(|(_, connection)| {
+            .find(|(_, connection)| {
                 connection.address == address && connection.call.is_none() && connection.connected
             })
-            .max_by_key(|(_, connection)| connection.answered_at)
             .map(|(id, _)| id);
         let id = match idle {
             Some(id) => id,
@@ -124,7 +144,7 @@
             address,
             call: None,
             connected: false,
-            answered_at: 0,
+            last_answer: Answered { newest: self.calls, ..Answered::default() },
         });
         let fwd =
             Fwd::to_actor(cx.this().clone(), move |this, cx, event| ready(this, cx, id, event));
@@ -173,12 +193,20 @@
             Ok(None) => ended.and_then(|fault| self.fail(id, fault)),
             Ok(Some((used, response))) => {
                 stream.rd += used;
-                connection.answered_at = self.calls;
                 let must_close = ended.is_some()
                     || response
                         .header("connection")
                         .is_some_and(|value| value.eq_ignore_ascii_case("close"));
                 let call = connection.call.take();
+                if let Some(call) = &call {
+                    let previous = connection.last_answer.newest;
+                    let answer = Answered { call: call.number, newest: self.calls, previous };
+                    connection.last_answer = answer;
+                    let address = connection.address;
+                    self.suspected.take_if(|(suspected, number)| {
+                        *suspected == address && answer.shows_alive(*number)
+                    });
+                }
                 if must_close || call.is_none() {
                     self.connections.remove(id);
                 }
@@ -205,9 +233,8 @@
         calls.map(|call| call.deadline_us).min().unwrap_or(u64::MAX)
     }
 
-    /// Ends the calls whose deadline has passed and closes their connections, together with the idle
-    /// connections to the same address that may have gone silent too. An answer that has arrived by
-    /// now is still returned, since this process may itself be late in reading it.
+    /// Ends the calls whose deadline has passed and closes their connections. An answer that has
+    /// arrived by now is still returned, since this process may itself be late in reading it.
     pub fn expire(&mut self, now_us: u64) -> Vec<Completion<T>> {
         let expired: Vec<(Id, SocketAddr, u64)> = self
             .connections
@@ -224,20 +251,34 @@
                 continue;
             }
             ended.extend(self.fail(id, Fault::Unanswered));
-            self.close_unproven(address, number);
+            self.suspect(address, number);
         }
         ended
     }
 
-    /// Closes the idle connections to an address on which nothing has been answered since the call
-    /// with this number was sent. What silenced its connection may have silenced them too, and each
+    /// Handles an unanswered call. After the second one without a sign that idle connections are
+    /// alive, closes those that have not answered since the first: they may all be silent, and each
     /// would cost a retry its timeout.
+    fn suspect(&mut self, address: SocketAddr, number: u64) {
+        let earlier = self.suspected.take_if(|(suspected, _)| *suspected == address);
+        let is_alive = self.connections.values().any(|connection| {
+            connection.address == address && connection.last_answer.shows_alive(number)
+        });
+        match earlier {
+            _ if is_alive => {}
+            Some((_, first)) => self.close_unproven(address, first.min(number)),
+            None => self.suspected = Some((address, number)),
+        }
+    }
+
+    /// Closes the idle connections to an address that have not answered since the call with this
+    /// number was sent.
     fn close_unproven(&mut self, address: SocketAddr, number: u64) {
         let before = self.connections.len();
         self.connections.retain(|_, connection| {
             connection.address != address
                 || connection.call.is_some()
-                || connection.answered_at >= number
+                || connection.last_answer.newest >= number
         });
         let closed = before - self.connections.len();
         if closed > 0 {
