Review case 15: two late copies of a request run its tasks at the same time

Cause: entries share nothing of jobs; the lease sums that keep runs apart hold for retries 1.3 s after a lost attempt and not for late copies. Change: a script with two lost attempts, one answered, and a copy of each lost one 3 s later at two entries.

--- a/review/lib3/src/cases.rs
+++ b/review/lib3/src/cases.rs
@@ -1,13 +1,15 @@
 //! The cases. Each returns whether its rule was broken.
 
 use std::{
-    net::SocketAddr,
+    io::Write,
+    net::{Shutdown, SocketAddr, TcpStream},
     thread,
     time::{Duration, Instant},
 };
 
 use crate::{
     cluster::{Cluster, ENTRIES},
+    executor::Run,
     has_trouble,
     http::{self, Response},
     log,
@@ -16,6 +18,7 @@
 /// Bounds of the sheet.
 const CONTACT: Duration = Duration::from_millis(3_000);
 const CANCEL: Duration = Duration::from_millis(3_000);
+const RETRANSMIT: Duration = Duration::from_millis(1_300);
 const DRAIN: Duration = Duration::from_millis(2_000);
 const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
 const MAX_STRETCH: Duration = Duration::from_millis(5_000);
@@ -62,10 +65,7 @@
     run_ms: u64,
     timeout_ms: u64,
 ) -> Option<Response> {
-    let body = format!(
-        "{{\"preemptible\":true,\"spec\":\"{run_ms}\",\"steps\":[{{\"count\":{tasks},\"cpu\":3100,\
-         \"mem_mb\":64,\"estimate_ms\":{run_ms}}}]}}"
-    );
+    let body = body(tasks, run_ms);
     let headers = format!("x-kingcuplanding-timeout-ms: {timeout_ms}\r\n");
     let wait = Duration::from_millis(timeout_ms + 500);
     http::call(entry, "POST", &format!("{queue}{id}"), HOST, &headers, &body, wait)
@@ -261,6 +261,97 @@
     broken
 }
 
+/// Two attempts of a caller lose their connections and the third is answered. Copies of the first two
+/// arrive seconds later, at two entries.
+pub fn two_copies() -> bool {
+    let cluster = Cluster::open(&config(1, &[]));
+    let mut broken = false;
+    for number in 0..5_u64 {
+        let id = format!("{:016x}", 0x3b4e_0000_0000_0000 + number);
+        let entry = |offset: u64| ((number + offset) % ENTRIES as u64) as usize;
+        for attempt in 0..2 {
+            let (at, id) = (cluster.callers[entry(attempt)], id.clone());
+            log(&format!(
+                "client: POST {PRICING}{id} to entry {}, whose connection breaks after 0.2 s",
+                entry(attempt)
+            ));
+            let lost = lose(at, &id, Duration::from_millis(200));
+            log(&format!(
+                "client: no answer, connection {}",
+                if lost { "broken" } else { "refused" }
+            ));
+            thread::sleep(RETRANSMIT);
+        }
+        log(&format!("client: POST {PRICING}{id} to entry {}", entry(2)));
+        let answer = submit(cluster.callers[entry(2)], PRICING, &id, 2, 900, 13_000);
+        log(&format!("client: the POST of {id} is answered {}", status(&answer)));
+        if status(&answer) != 200 {
+            crate::give_up("the third attempt was not answered with 200");
+        }
+        thread::sleep(Duration::from_secs(3));
+        let copies = [(entry(3), 0), (entry(0), 300)].map(|(index, delay_ms)| {
+            let (at, id) = (cluster.callers[index], id.clone());
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(delay_ms));
+                if has_trouble() {
+                    log(&format!("network: a copy of POST {PRICING}{id} arrives at entry {index}"));
+                    let answer = submit(at, PRICING, &id, 2, 900, 13_000);
+                    log(&format!(
+                        "network: the copy at entry {index} is answered {}",
+                        status(&answer)
+                    ));
+                }
+            })
+        });
+        for copy in copies {
+            copy.join().expect("a copy");
+        }
+        let runs = cluster.runs_of(&id);
+        for (index, run) in runs.iter().enumerate() {
+            for other in &runs[index + 1..] {
+                let ends = |run: &Run| run.end.unwrap_or_else(Instant::now);
+                let common = ends(run)
+                    .min(ends(other))
+                    .saturating_duration_since(run.start.max(other.start));
+                if run.task == other.task && common > MARGIN {
+                    log(&format!(
+                        "TWICE: {} runs at executors {} and {} for {} ms at the same time",
+                        run.task,
+                        run.executor,
+                        other.executor,
+                        common.as_millis()
+                    ));
+                    broken = true;
+                }
+            }
+        }
+    }
+    check_running(&cluster);
+    broken
+}
+
+/// Submits a job on a connection that breaks after this time.
+fn lose(entry: SocketAddr, id: &str, after: Duration) -> bool {
+    let body = body(2, 900);
+    let text = format!(
+        "POST {PRICING}{id} HTTP/1.1\r\nhost: {HOST}\r\ncontent-type: application/json\r\n\
+         x-kingcuplanding-timeout-ms: 13000\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let Ok(mut stream) = TcpStream::connect(entry) else { return false };
+    let sent = stream.write_all(text.as_bytes()).is_ok();
+    thread::sleep(after);
+    sent && stream.shutdown(Shutdown::Both).is_ok()
+}
+
+/// Body of a submission of a preemptible job.
+fn body(tasks: u32, run_ms: u64) -> String {
+    format!(
+        "{{\"preemptible\":true,\"spec\":\"{run_ms}\",\"steps\":[{{\"count\":{tasks},\"cpu\":3100,\
+         \"mem_mb\":64,\"estimate_ms\":{run_ms}}}]}}"
+    )
+}
+
 fn check_running(cluster: &Cluster) {
     if !cluster.is_running() {
         log("a process of the system has ended by itself");
--- a/review/lib3/src/main.rs
+++ b/review/lib3/src/main.rs
@@ -62,6 +62,7 @@
         "late-copy" => cases::late_copy(),
         "large-watch" => cases::large_watch(),
         "drain" => cases::drain(),
+        "two-copies" => cases::two_copies(),
         _ => give_up("unknown case"),
     };
     let verdict = if broken { "the rule was broken" } else { "the rule held" };
