--- a/review/lib3/src/cases.rs
+++ b/review/lib3/src/cases.rs
@@ -88,6 +88,18 @@
         let copied = id.clone();
         let submission = thread::spawn(move || submit(first, queue, &copied, 2, run_ms, 1_500));
         log(&format!("client: POST {queue}{id} to entry {}", entry(0)));
+        // Three other jobs come with it and are not cancelled, so that a quarter of all are.
+        let others: Vec<_> = (1..=3_u64)
+            .map(|other| {
+                let at = cluster.callers[entry(other)];
+                let id = format!("{:016x}", 0x5c0e_7a21_d94c_0000 + number * 4 + other);
+                log(&format!("client: POST {queue}{id} to entry {}", entry(other)));
+                thread::spawn(move || {
+                    let answer = submit(at, queue, &id, 2, run_ms, 1_500);
+                    log(&format!("client: the POST of {id} is answered {}", status(&answer)));
+                })
+            })
+            .collect();
         // A long job is cancelled while it runs, a short one right after its answer.
         thread::sleep(Duration::from_millis(if runs_long { 300 } else { 250 }));
         let path = format!("{queue}{id}");
@@ -106,6 +118,9 @@
         };
         let answer = submission.join().expect("an answer");
         log(&format!("client: the POST of {id} is answered {}", status(&answer)));
+        for other in others {
+            other.join().expect("an answer");
+        }
         sleep_until(acked + CANCEL + Duration::from_millis(1_000));
         if has_trouble() {
             log(&format!("network: a copy of POST {path} arrives at entry {}", entry(2)));
